feat(entry): serve requests end to end through one allocator per service

Cause: nothing existed. An entry host's own view shows two to six of a service's 30 to 90 slots, so slots are handed out by one late-binding queue per service; bodies go straight to the endpoint.

Ruled out: tRPC for slot messages (1.65 ms a call alone, more than the 1.6 ms that a call may cost); forwarding bodies through the allocator (18,000 requests/s is above what one process forwards). msgpackr with `structures: []` together with `sequential` cannot be decoded by a second instance; `sequential` alone on both sides can.

--- /dev/null
+++ b/packages/claims/src/index.ts
@@ -0,0 +1,1 @@
+export type * from './claim-service.js';
--- /dev/null
+++ b/packages/cli/src/entry-host.ts
@@ -0,0 +1,230 @@
+import {randomUUID} from 'node:crypto';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import process from 'node:process';
+import {errAsync} from 'neverthrow';
+import type {ClaimService} from '@tanagerrail/claims';
+import type {Configuration} from '@tanagerrail/configuration';
+import {CallerListener, EndpointConnections, type RequestContext} from '@tanagerrail/http';
+import {HostDirectory, PauseDetector} from '@tanagerrail/membership';
+import {AllocatorRegistry, SlotRouter, SlotServer} from '@tanagerrail/peers';
+import {createHttpHostList} from '@tanagerrail/platform';
+import {createFailure} from '@tanagerrail/results';
+import {RetryBudget} from '@tanagerrail/routing';
+import {
+	createLogger, createMetrics, LogLevel, readMonotonicClock, setCommonLogFields, setLogFilter,
+} from '@tanagerrail/telemetry';
+import type {Settings} from './settings.js';
+
+const logger = createLogger('host');
+const clock = readMonotonicClock;
+
+/** Addresses on which a host listens. */
+export type EntryHostPorts = {readonly callers: number; readonly peers: number; readonly admin: number};
+
+/** One entry host: its listeners, its links to peers and what it knows. */
+export class EntryHost {
+	readonly #settings: Settings;
+	readonly #incarnation = randomUUID();
+	readonly #directory: HostDirectory;
+	readonly #registry: AllocatorRegistry;
+	readonly #router: SlotRouter;
+	readonly #slotServer: SlotServer;
+	readonly #listener: CallerListener;
+	readonly #connections = new EndpointConnections({
+		clock, connections: 200, connectTimeout: 250, idleTimeout: 30_000,
+	});
+
+	readonly #peerServer: Server;
+	readonly #adminServer: Server;
+	readonly #pauseDetector: PauseDetector;
+	readonly #retryBudgets = new Map<string, RetryBudget>();
+	readonly #configuration: Configuration | undefined;
+	#isStopping = false;
+
+	constructor(settings: Settings, configuration?: Configuration) {
+		this.#settings = settings;
+		this.#configuration = configuration;
+		const {host, keys, platform, metrics} = settings;
+		setCommonLogFields({host: host.id, failureDomain: host.failureDomain});
+		setLogFilter(settings.log.filter);
+		const getRevision = () => this.#configuration?.revision ?? 0;
+		const onRevision = () => undefined;
+		this.#directory = new HostDirectory({hostList: createHttpHostList({url: platform.hostList.url}), clock});
+		this.#registry = new AllocatorRegistry({
+			hostId: host.id, directory: this.#directory, clock, getConfiguration: () => this.#configuration,
+		});
+		this.#pauseDetector = new PauseDetector({
+			clock,
+			onPause: milliseconds => {
+				this.#handlePause(milliseconds);
+			},
+		});
+		this.#router = new SlotRouter({
+			hostId: host.id,
+			incarnation: this.#incarnation,
+			failureDomain: host.failureDomain,
+			directory: this.#directory,
+			registry: this.#registry,
+			clock,
+			key: keys.peers[0]!,
+			getRevision,
+			onRevision,
+			checkPause: () => {
+				this.#pauseDetector.check();
+			},
+		});
+		this.#peerServer = createServer((_req, res) => {
+			res.writeHead(404).end();
+		});
+		this.#slotServer = new SlotServer({
+			server: this.#peerServer, registry: this.#registry, directory: this.#directory, keys: keys.peers, getRevision, onRevision,
+		});
+		this.#adminServer = createServer((req, res) => {
+			this.#handleAdmin(req, res);
+		});
+		this.#listener = new CallerListener({context: this.#createContext(createMetrics({host: metrics.address, port: metrics.port, tags: {host: host.id}}))});
+	}
+
+	/** Whether the host takes new work. */
+	get isReady(): boolean {
+		return !this.#isStopping && this.#configuration !== undefined;
+	}
+
+	/**
+	 * Starts to listen and to read the host list.
+	 *
+	 * @returns The ports in use.
+	 */
+	async start(): Promise<EntryHostPorts> {
+		const {listen} = this.#settings;
+		this.#pauseDetector.start();
+		await this.#directory.start();
+		const peers = await openListener(this.#peerServer, listen.peers);
+		const admin = await openListener(this.#adminServer, listen.admin);
+		const callers = await this.#listener.start({host: listen.callers.address, port: listen.callers.port});
+		logger.log(LogLevel.info, 'host-started', {
+			incarnation: this.#incarnation, callers, peers, admin,
+		});
+		return {callers, peers, admin};
+	}
+
+	/** Shuts down gracefully: no request in progress is cut off within the bound of the settings. */
+	async stop(): Promise<void> {
+		const {lameDuckMilliseconds, shutdownMilliseconds} = this.#settings.shutdown;
+		const startedAt = clock();
+		this.#isStopping = true;
+		logger.log(LogLevel.info, 'host-stopping');
+		this.#slotServer.announceGoodbye();
+		this.#listener.drain();
+		await waitMilliseconds(lameDuckMilliseconds);
+		this.#listener.stop();
+		let loggedAt = clock();
+		while (this.#listener.inProgress > 0 && clock() - startedAt < shutdownMilliseconds) {
+			await waitMilliseconds(10);
+			if (clock() - loggedAt >= 1000) {
+				loggedAt = clock();
+				logger.log(LogLevel.info, 'host-waiting', {requests: this.#listener.inProgress});
+			}
+		}
+
+		logger.log(LogLevel.info, 'host-stopped', {cutOff: this.#listener.inProgress});
+		this.#close();
+	}
+
+	#close(): void {
+		this.#listener.abort();
+		this.#router.close();
+		this.#slotServer.close();
+		this.#registry.stop();
+		this.#directory.stop();
+		this.#pauseDetector.stop();
+		this.#connections.close();
+		this.#peerServer.close();
+		this.#adminServer.close();
+		this.#adminServer.closeAllConnections();
+	}
+
+	#createContext(metrics: RequestContext['metrics']): RequestContext {
+		return {
+			hostId: this.#settings.host.id,
+			clock,
+			slots: this.#router,
+			connections: this.#connections,
+			claims: createUnavailableClaims(),
+			metrics,
+			getConfiguration: () => this.#configuration,
+			getRetryBudget: service => this.#getRetryBudget(service),
+			record: () => undefined,
+		};
+	}
+
+	#getRetryBudget(service: string): RetryBudget {
+		const known = this.#retryBudgets.get(service);
+		if (known) {
+			return known;
+		}
+
+		const ratio = this.#configuration?.services.find(({name}) => name === service)?.retryBudget;
+		const budget = new RetryBudget(ratio === undefined ? {} : {ratio});
+		this.#retryBudgets.set(service, budget);
+		return budget;
+	}
+
+	#handlePause(milliseconds: number): void {
+		logger.log(LogLevel.warn, 'host-paused', {milliseconds: Math.round(milliseconds)});
+		this.#router.reset();
+		this.#slotServer.close();
+		this.#registry.reset();
+	}
+
+	#handleAdmin(req: IncomingMessage, res: ServerResponse): void {
+		if (req.url === '/-/health') {
+			res.writeHead(200).end('alive\n');
+			return;
+		}
+
+		if (req.url === '/-/ready') {
+			res.writeHead(this.isReady ? 200 : 503).end(this.isReady ? 'ready\n' : 'not ready\n');
+			return;
+		}
+
+		res.writeHead(404).end();
+	}
+}
+
+async function openListener(server: Server, {address, port}: {address: string; port: number}): Promise<number> {
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(port, address, resolve);
+	});
+	const bound = server.address();
+	return typeof bound === 'object' && bound ? bound.port : port;
+}
+
+async function waitMilliseconds(milliseconds: number): Promise<void> {
+	await new Promise<void>(resolve => {
+		setTimeout(resolve, milliseconds);
+	});
+}
+
+function createUnavailableClaims(): ClaimService {
+	return {
+		claim: () => errAsync(createFailure('store-unavailable')),
+		finish: async () => undefined,
+		remove: async () => undefined,
+		drain: async () => undefined,
+	};
+}
+
+/**
+ * Stops a host when the process is told to end.
+ *
+ * @param host - The host.
+ */
+export function stopOnSignal(host: EntryHost): void {
+	process.once('SIGTERM', () => {
+		void host.stop();
+	});
+}
--- /dev/null
+++ b/packages/cli/src/main.ts
@@ -0,0 +1,32 @@
+#!/usr/bin/env node
+import fs from 'node:fs';
+import process from 'node:process';
+import {cac} from 'cac';
+import {parse} from 'yaml';
+import type {Configuration} from '@tanagerrail/configuration';
+import {EntryHost, stopOnSignal} from './entry-host.js';
+import {settingsSchema} from './settings.js';
+
+const program = cac('tanagerrail');
+
+program
+	.command('entry', 'Run an entry host')
+	.option('--settings <file>', 'Settings file (YAML)')
+	.action(async ({settings: file}: {settings: string}) => {
+		const settings = settingsSchema.parse(parse(fs.readFileSync(file, 'utf8')));
+		const {initialConfigurationFile} = settings;
+		const configuration = initialConfigurationFile === undefined
+			? undefined
+			: JSON.parse(fs.readFileSync(initialConfigurationFile, 'utf8')) as Configuration;
+		const host = new EntryHost(settings, configuration);
+		stopOnSignal(host);
+		await host.start();
+	});
+program.help();
+
+async function runMain(): Promise<void> {
+	program.parse(process.argv, {run: false});
+	await program.runMatchedCommand();
+}
+
+void runMain();
--- /dev/null
+++ b/packages/configuration/src/default-service-configuration.ts
@@ -0,0 +1,15 @@
+import {MissingKey, type ServiceConfiguration} from './configuration.js';
+
+/** Values of a service that the answers do not name. */
+export const defaultServiceConfiguration = {
+	slotsPerEndpoint: 3,
+	connectionsPerEndpoint: 200,
+	longWorkShare: 0.34,
+	maximumWaitFraction: 0.5,
+	retryBudget: 0.1,
+	hedgeBudget: 0.02,
+	missingKey: MissingKey.refuse,
+	outcomeDays: 30,
+	loadPath: '/-/load',
+	serviceLevels: [],
+} as const satisfies Partial<ServiceConfiguration>;
--- /dev/null
+++ b/packages/configuration/src/index.ts
@@ -0,0 +1,3 @@
+export * from './configuration.js';
+export * from './default-service-configuration.js';
+export * from './match-route.js';
--- /dev/null
+++ b/packages/http/src/caller-request.ts
@@ -0,0 +1,35 @@
+import {createHash} from 'node:crypto';
+import type {IncomingHttpHeaders} from 'node:http';
+import type {RouteMatch} from '@tanagerrail/configuration';
+
+/** A request of a caller, received in full and matched to a route. */
+export type CallerRequest = {
+	readonly id: string;
+	readonly method: string;
+	/** Path and query. */
+	readonly target: string;
+	readonly headers: IncomingHttpHeaders;
+	readonly body: Uint8Array | undefined;
+	readonly match: RouteMatch;
+	/** Monotonic time of arrival and of the deadline, in milliseconds. */
+	readonly arrivedAt: number;
+	readonly deadline: number;
+	readonly callerAddress: string;
+	/** Aborted when the caller is gone. */
+	readonly signal: AbortSignal;
+};
+
+/**
+ * Computes the fingerprint by which the same request is recognised on every host.
+ *
+ * @param request - The request.
+ * @returns Hash of service, method, target and body.
+ */
+export function hashRequest({method, target, body, match}: Pick<CallerRequest, 'method' | 'target' | 'body' | 'match'>): string {
+	const hash = createHash('sha256').update(`${match.service.name}\0${method}\0${target}\0`);
+	if (body) {
+		hash.update(body);
+	}
+
+	return hash.digest('base64url').slice(0, 22);
+}
--- /dev/null
+++ b/packages/http/src/endpoint-attempt.ts
@@ -0,0 +1,110 @@
+import type {Readable} from 'node:stream';
+import type {IncomingHttpHeaders} from 'node:http';
+import {
+	err, ok, ResultAsync, type Result,
+} from 'neverthrow';
+import {errors, type Dispatcher} from 'undici';
+import {createFailure, Outcome, type Failure} from '@tanagerrail/results';
+import {AttemptOutcome} from '@tanagerrail/routing';
+import type {ConnectionPool} from './connection-pool.js';
+import type {HeaderFields} from './forwarded-headers.js';
+
+/** A request as it goes to an endpoint. */
+export type EndpointRequest = {
+	readonly method: string;
+	/** Path and query. */
+	readonly target: string;
+	readonly headers: HeaderFields;
+	readonly body: Uint8Array | undefined;
+};
+
+/** Options of one attempt. */
+export type AttemptOptions = {
+	readonly pool: ConnectionPool;
+	readonly endpointId: string;
+	readonly request: EndpointRequest;
+	/** Time left until the deadline, in milliseconds. */
+	readonly remainingMilliseconds: number;
+	/** Longest silence of a connection that may be used, in milliseconds. */
+	readonly maximumSilence: number;
+	readonly signal: AbortSignal;
+};
+
+/** The beginning of a response; the connection returns to its pool when the body has ended. */
+export type EndpointResponse = {
+	readonly status: number;
+	readonly headers: IncomingHttpHeaders;
+	readonly body: Readable;
+	/** Declared length of the body in bytes, if any. */
+	readonly contentLength: number | undefined;
+	readonly isDraining: boolean;
+};
+
+/** An attempt without a response. */
+export type AttemptFailure = {
+	readonly outcome: AttemptOutcome;
+	readonly failure: Failure;
+};
+
+const unreachableCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT', 'EADDRNOTAVAIL']);
+
+/**
+ * Sends a request to one endpoint over one connection and waits for the headers of the response.
+ *
+ * @param options - The request and its connection pool.
+ * @returns The response, or how the attempt ended: `refused` and `unreachable` certainly did not run.
+ */
+export function sendAttempt(options: AttemptOptions): ResultAsync<EndpointResponse, AttemptFailure> {
+	return new ResultAsync(runAttempt(options));
+}
+
+async function runAttempt({pool, endpointId, request, remainingMilliseconds, maximumSilence, signal}: AttemptOptions): Promise<Result<EndpointResponse, AttemptFailure>> {
+	const connection = pool.take(maximumSilence);
+	try {
+		const response = await connection.client.request({
+			method: request.method,
+			path: request.target,
+			headers: {...request.headers, 'request-timeout': String(Math.max(1, Math.floor(remainingMilliseconds)))},
+			body: request.body ?? null,
+			signal,
+		});
+		const {headers, body, statusCode} = response;
+		body.once('end', () => {
+			pool.release(connection);
+		});
+		body.once('error', () => {
+			pool.drop(connection);
+		});
+		if (statusCode === 503 && headers['tanagerrail-outcome'] === Outcome.notRun) {
+			await body.dump();
+			return err({outcome: AttemptOutcome.refused, failure: createFailure('endpoint-refused', {endpoint: endpointId})});
+		}
+
+		return ok({
+			status: statusCode,
+			headers,
+			body,
+			contentLength: headers['content-length'] === undefined ? undefined : Number(headers['content-length']),
+			isDraining: headers['endpoint-state'] === 'draining',
+		});
+	} catch (error) {
+		pool.drop(connection);
+		return err(describeError(error, endpointId, signal));
+	}
+}
+
+function describeError(error: unknown, endpointId: string, signal: AbortSignal): AttemptFailure {
+	const parameters = {endpoint: endpointId};
+	if (signal.aborted) {
+		return signal.reason === AttemptOutcome.timeout
+			? {outcome: AttemptOutcome.timeout, failure: createFailure('endpoint-timeout', parameters)}
+			: {outcome: AttemptOutcome.cancelled, failure: createFailure('request-aborted')};
+	}
+
+	const code = (error as NodeJS.ErrnoException).code ?? '';
+	if (unreachableCodes.has(code) || error instanceof errors.ConnectTimeoutError) {
+		return {outcome: AttemptOutcome.unreachable, failure: createFailure('endpoint-unreachable', parameters)};
+	}
+
+	return {outcome: AttemptOutcome.crashed, failure: createFailure('endpoint-lost', parameters)};
+}
--- /dev/null
+++ b/packages/http/src/index.ts
@@ -0,0 +1,5 @@
+export * from './caller-listener.js';
+export * from './connection-pool.js';
+export * from './endpoint-connections.js';
+export type * from './request-context.js';
+export * from './request-limits.js';
--- /dev/null
+++ b/packages/http/src/request-context.ts
@@ -0,0 +1,34 @@
+import type {ClaimService} from '@tanagerrail/claims';
+import type {Configuration} from '@tanagerrail/configuration';
+import type {RetryBudget, SlotSource} from '@tanagerrail/routing';
+import type {Clock, Metrics} from '@tanagerrail/telemetry';
+import type {EndpointConnections} from './endpoint-connections.js';
+
+/** End of a caller's request, for service levels. */
+export type RequestRecord = {
+	readonly service: string;
+	readonly workClass: string;
+	/** Time from arrival to the end of the response, in milliseconds. */
+	readonly milliseconds: number;
+	readonly status: number;
+	/** Number of the result code of a refusal; nothing for a response of an endpoint. */
+	readonly code: number | undefined;
+	/** Time spent waiting for a slot, in milliseconds. */
+	readonly waitMilliseconds: number;
+};
+
+/** What the request path of a host works with. */
+export type RequestContext = {
+	readonly hostId: string;
+	readonly clock: Clock;
+	readonly slots: SlotSource;
+	readonly connections: EndpointConnections;
+	readonly claims: ClaimService;
+	readonly metrics: Metrics;
+	/** The configuration in force; nothing before the host knows one. */
+	getConfiguration(): Configuration | undefined;
+	/** Retry budget of a service. */
+	getRetryBudget(service: string): RetryBudget;
+	/** Records the end of a request. */
+	record(record: RequestRecord): void;
+};
--- /dev/null
+++ b/packages/http/src/send-granted.ts
@@ -0,0 +1,74 @@
+import {err, ok, type Result} from 'neverthrow';
+import {createFailure} from '@tanagerrail/results';
+import {AttemptOutcome, type SlotGrant} from '@tanagerrail/routing';
+import type {CallerRequest} from './caller-request.js';
+import {sendAttempt, type AttemptFailure, type EndpointResponse} from './endpoint-attempt.js';
+import {buildEndpointHeaders} from './forwarded-headers.js';
+import type {RequestContext} from './request-context.js';
+import {hasRecognisableEnd} from './stream-response.js';
+
+/** Status from which a response counts as a failure of the endpoint. */
+export const firstServerError = 500;
+
+/**
+ * Sends a request to the endpoint of a grant. The slot is given back when the response has ended or the attempt failed.
+ *
+ * @param request - The caller's request.
+ * @param grant - The slot.
+ * @param context - The host's request path.
+ * @param maximumSilence - Longest silence of a connection that may be used, in milliseconds.
+ * @returns The beginning of the response, or how the attempt ended.
+ */
+export async function sendGranted(request: CallerRequest, grant: SlotGrant, context: RequestContext, maximumSilence = Infinity): Promise<Result<EndpointResponse, AttemptFailure>> {
+	const {clock, connections, hostId} = context;
+	const startedAt = clock();
+	const controller = new AbortController();
+	const cancel = () => {
+		controller.abort(AttemptOutcome.cancelled);
+	};
+
+	const timer = setTimeout(() => {
+		controller.abort(AttemptOutcome.timeout);
+	}, Math.max(1, request.deadline - startedAt));
+	request.signal.addEventListener('abort', cancel, {once: true});
+	const release = (outcome: AttemptOutcome, isDraining = false) => {
+		clearTimeout(timer);
+		request.signal.removeEventListener('abort', cancel);
+		grant.release({outcome, milliseconds: clock() - startedAt, isDraining});
+	};
+
+	const attempt = await sendAttempt({
+		pool: connections.get(grant.address),
+		endpointId: grant.endpointId,
+		request: {
+			method: request.method,
+			target: request.target,
+			headers: buildEndpointHeaders({
+				headers: request.headers, callerAddress: request.callerAddress, hostId, bodyLength: request.body?.length ?? 0,
+			}),
+			body: request.body,
+		},
+		remainingMilliseconds: request.deadline - startedAt,
+		maximumSilence,
+		signal: controller.signal,
+	});
+	if (attempt.isErr()) {
+		release(attempt.error.outcome);
+		return attempt;
+	}
+
+	const response = attempt.value;
+	if (!hasRecognisableEnd(response, request.method)) {
+		response.body.destroy();
+		release(AttemptOutcome.failure, response.isDraining);
+		return err({outcome: AttemptOutcome.failure, failure: createFailure('answer-incomplete', {endpoint: grant.endpointId})});
+	}
+
+	response.body.once('end', () => {
+		release(response.status >= firstServerError ? AttemptOutcome.failure : AttemptOutcome.success, response.isDraining);
+	});
+	response.body.once('error', () => {
+		release(controller.signal.aborted ? controller.signal.reason as AttemptOutcome : AttemptOutcome.failure, response.isDraining);
+	});
+	return ok(response);
+}
--- /dev/null
+++ b/packages/peers/src/allocator-registry.ts
@@ -0,0 +1,168 @@
+import type {Configuration} from '@tanagerrail/configuration';
+import {rankHosts, type HostDirectory} from '@tanagerrail/membership';
+import {HostState} from '@tanagerrail/platform';
+import {Allocator, type EndpointStatus} from '@tanagerrail/routing';
+import type {Clock} from '@tanagerrail/telemetry';
+
+/** Options of {@link AllocatorRegistry}. */
+export type AllocatorRegistryOptions = {
+	readonly hostId: string;
+	readonly directory: HostDirectory;
+	readonly clock: Clock;
+	readonly random: () => number;
+	readonly getConfiguration: () => Configuration | undefined;
+	/** How long a new allocator holds back the share of hosts that have not connected, in milliseconds. */
+	readonly joinGraceMilliseconds: number;
+	/** Time between two looks at waiting requests whose deadline has come, in milliseconds. */
+	readonly expireMilliseconds: number;
+};
+
+/** Defaults of {@link AllocatorRegistryOptions}. */
+export const defaultAllocatorRegistryOptions = {joinGraceMilliseconds: 500, expireMilliseconds: 5, random: Math.random};
+
+type Entry = {readonly allocator: Allocator; readonly createdAt: number; readonly users: Set<string>; readonly moved: Set<string>};
+
+/** The allocators that run on this host, by service. */
+export class AllocatorRegistry {
+	readonly #options: AllocatorRegistryOptions;
+	readonly #entries = new Map<string, Entry>();
+	readonly #timer: NodeJS.Timeout;
+
+	constructor(options: Partial<AllocatorRegistryOptions> & Pick<AllocatorRegistryOptions, 'hostId' | 'directory' | 'clock' | 'getConfiguration'>) {
+		this.#options = {...defaultAllocatorRegistryOptions, ...options};
+		this.#options.directory.onChange(() => {
+			this.#update();
+		});
+		this.#timer = setInterval(() => {
+			this.#expire();
+		}, this.#options.expireMilliseconds);
+	}
+
+	/**
+	 * Returns the allocator of a service.
+	 *
+	 * @param service - Name of the service.
+	 * @returns The allocator, a new one if need be; nothing for an unknown service.
+	 */
+	get(service: string): Allocator | undefined {
+		const known = this.#entries.get(service);
+		if (known) {
+			return known.allocator;
+		}
+
+		const configured = this.#options.getConfiguration()?.services.find(({name}) => name === service);
+		if (!configured) {
+			return undefined;
+		}
+
+		const {clock, random} = this.#options;
+		const allocator = new Allocator({service: configured, clock, random});
+		this.#entries.set(service, {
+			allocator, createdAt: clock(), users: new Set([this.#options.hostId]), moved: new Set(),
+		});
+		this.#updateEntry(service);
+		return allocator;
+	}
+
+	/**
+	 * Records that a host uses the allocator of a service.
+	 *
+	 * @param service - Name of the service.
+	 * @param hostId - Id of the host.
+	 */
+	addUser(service: string, hostId: string): void {
+		const entry = this.#entries.get(service);
+		if (!entry || (entry.users.has(hostId) && !entry.moved.has(hostId))) {
+			return;
+		}
+
+		entry.users.add(hostId);
+		entry.moved.delete(hostId);
+		this.#updateEntry(service);
+	}
+
+	/**
+	 * Records that a host uses another allocator of a service now.
+	 *
+	 * @param service - Name of the service.
+	 * @param hostId - Id of the host.
+	 */
+	recordMoved(service: string, hostId: string): void {
+		const entry = this.#entries.get(service);
+		entry?.users.delete(hostId);
+		entry?.moved.add(hostId);
+		this.#updateEntry(service);
+	}
+
+	/**
+	 * Takes back the slots of a host whose link is closed.
+	 *
+	 * @param hostId - Id of the host.
+	 */
+	removeHost(hostId: string): void {
+		for (const [service, entry] of this.#entries) {
+			entry.users.delete(hostId);
+			entry.allocator.removeHost(hostId);
+			this.#updateEntry(service);
+		}
+	}
+
+	/** Discards all allocators, after a pause or because the configuration changed. */
+	reset(): void {
+		this.#entries.clear();
+	}
+
+	/**
+	 * Describes the endpoints of all allocators on this host.
+	 *
+	 * @returns Endpoint states by service.
+	 */
+	describe(): Record<string, EndpointStatus[]> {
+		return Object.fromEntries([...this.#entries].map(([service, {allocator}]) => [service, allocator.describe()]));
+	}
+
+	/** Ends the timer. */
+	stop(): void {
+		clearInterval(this.#timer);
+	}
+
+	#expire(): void {
+		for (const [service, {allocator, createdAt}] of this.#entries) {
+			if (this.#options.clock() - createdAt < this.#options.joinGraceMilliseconds + 100) {
+				this.#updateEntry(service);
+			}
+
+			allocator.expire();
+		}
+	}
+
+	#update(): void {
+		for (const service of this.#entries.keys()) {
+			this.#updateEntry(service);
+		}
+	}
+
+	#updateEntry(service: string): void {
+		const entry = this.#entries.get(service);
+		if (!entry) {
+			return;
+		}
+
+		const {hostId, directory, clock, joinGraceMilliseconds} = this.#options;
+		const ids = directory.listEntries().map(({id}) => id);
+		const listed = Math.max(1, ids.length);
+		const share = {
+			isFirstRank: (rankHosts(service, ids)[0] ?? hostId) === hostId,
+			listed,
+			connected: entry.users.size,
+			moved: ids.filter(id => entry.moved.has(id)).length,
+		};
+		const endpoints = directory.listEndpoints(service);
+		entry.allocator.updateEndpoints(endpoints.map(({id, address, failureDomain, state}) => ({
+			id, address, failureDomain, isLeaving: state === HostState.leaving,
+		})));
+		const isJoining = clock() - entry.createdAt < joinGraceMilliseconds;
+		const missing = Math.max(0, listed - entry.users.size);
+		entry.allocator.setShare(share, isJoining && share.isFirstRank ? Math.floor(entry.allocator.slots * missing / listed) : 0);
+	}
+}
--- /dev/null
+++ b/packages/peers/src/slot-link.ts
@@ -0,0 +1,323 @@
+import {
+	err, ok, ResultAsync, type Result,
+} from 'neverthrow';
+import {WebSocket} from 'ws';
+import {createFailure, type Failure} from '@tanagerrail/results';
+import {createLogger, LogLevel, type Clock} from '@tanagerrail/telemetry';
+import type {SlotRelease, SlotRequest} from '@tanagerrail/routing';
+import {FrameChannel} from './frame-channel.js';
+import type {
+	AllocatorMessage, HelloMessage, HeldSlot, HostMessage,
+} from './slot-messages.js';
+import {slotPath} from './slot-server.js';
+import {keyHeader} from './verify-key.js';
+
+const logger = createLogger('peers');
+
+/** State of a link. */
+export const LinkState = {connecting: 'connecting', open: 'open', closed: 'closed'} as const;
+
+/** `connecting`, `open` or `closed`. */
+export type LinkState = typeof LinkState[keyof typeof LinkState];
+
+/** Options of {@link SlotLink}. */
+export type SlotLinkOptions = {
+	/** Id and peer address (`ip:port`) of the allocator's host. */
+	readonly peerId: string;
+	readonly peerAddress: string;
+	readonly key: string;
+	readonly clock: Clock;
+	readonly getRevision: () => number;
+	/** Builds the first message of a connection. */
+	readonly buildHello: () => HelloMessage;
+	readonly onRevision: (revision: number, hostId: string) => void;
+	readonly onGoodbye: (hostId: string) => void;
+	readonly onCrashes: (message: Extract<AllocatorMessage, {type: 'crashes'}>) => void;
+	readonly onDrain: (message: Extract<AllocatorMessage, {type: 'drain'}>) => void;
+	/** Time between heartbeats, in milliseconds. */
+	readonly beatMilliseconds: number;
+	/** A link without any message for this long is given up, in milliseconds. */
+	readonly silenceMilliseconds: number;
+	/** Time between two tries to connect, in milliseconds. */
+	readonly retryMilliseconds: number;
+};
+
+/** Defaults of {@link SlotLinkOptions}. */
+export const defaultSlotLinkOptions = {beatMilliseconds: 100, silenceMilliseconds: 500, retryMilliseconds: 250};
+
+/** A slot that an allocator on another host gave. */
+export type LinkGrant = {readonly grantId: string; readonly endpointId: string; readonly address: string};
+
+type Pending = (result: Result<LinkGrant, Failure>) => void;
+type MessageHandlers = {readonly [T in AllocatorMessage['type']]: (message: Extract<AllocatorMessage, {type: T}>) => void};
+
+/** The link to the allocators of one peer, kept up by one task. */
+export class SlotLink {
+	readonly #options: SlotLinkOptions;
+	readonly #pending = new Map<number, Pending>();
+	readonly #stop = new AbortController();
+	readonly #services = new Set<string>();
+	#channel: FrameChannel<HostMessage, AllocatorMessage> | undefined;
+	#socket: WebSocket | undefined;
+	#state: LinkState = LinkState.connecting;
+	#waiting: Array<() => void> = [];
+	#lastMessageAt = 0;
+	#nextId = 1;
+	#bytes = {sent: 0, received: 0};
+
+	readonly #handlers: MessageHandlers = {
+		grant: ({id, grantId, endpointId, address}) => {
+			const settle = this.#takePending(id);
+			if (settle) {
+				settle(ok({grantId, endpointId, address}));
+			}
+		},
+		refuse: ({id, code, parameters}) => {
+			this.#takePending(id)?.(err(createFailure(code, parameters)));
+		},
+		crashes: message => {
+			this.#options.onCrashes(message);
+		},
+		drain: message => {
+			this.#options.onDrain(message);
+		},
+		goodbye: () => {
+			this.#options.onGoodbye(this.peerId);
+		},
+		beat() {/* Any message shows that the peer works. */},
+	};
+
+	constructor(options: Partial<SlotLinkOptions> & Omit<SlotLinkOptions, keyof typeof defaultSlotLinkOptions>) {
+		this.#options = {...defaultSlotLinkOptions, ...options};
+	}
+
+	get peerId(): string {
+		return this.#options.peerId;
+	}
+
+	get state(): LinkState {
+		return this.#state;
+	}
+
+	/** Services whose slots were asked for on this link. */
+	get services(): ReadonlySet<string> {
+		return this.#services;
+	}
+
+	/** Bytes of control messages sent and received on this link. */
+	get bytes(): {readonly sent: number; readonly received: number} {
+		const current = this.#channel?.bytes ?? {sent: 0, received: 0};
+		return {sent: this.#bytes.sent + current.sent, received: this.#bytes.received + current.received};
+	}
+
+	/** Whether the allocator was heard of recently enough to rely on what it granted. */
+	get isFresh(): boolean {
+		return this.#state === LinkState.open && this.#options.clock() - this.#lastMessageAt < this.#options.silenceMilliseconds;
+	}
+
+	/** Keeps the link up until it is closed. */
+	async run(): Promise<void> {
+		while (!this.#stop.signal.aborted) {
+			this.#state = LinkState.connecting;
+			await this.#runConnection();
+			this.#state = LinkState.closed;
+			this.#notifyWaiting();
+			await this.#waitRetry();
+		}
+	}
+
+	/** Closes the link for good. */
+	close(): void {
+		this.#stop.abort();
+		this.#socket?.terminate();
+	}
+
+	/** Breaks the connection; the task opens a new one. */
+	reset(): void {
+		this.#socket?.terminate();
+	}
+
+	/**
+	 * Waits while the link is connecting.
+	 *
+	 * @param milliseconds - Longest wait.
+	 * @returns Whether the link is open.
+	 */
+	async waitOpen(milliseconds: number): Promise<boolean> {
+		if (this.#state !== LinkState.connecting) {
+			return this.#state === LinkState.open;
+		}
+
+		await new Promise<void>(resolve => {
+			this.#waiting.push(resolve);
+			setTimeout(resolve, milliseconds);
+		});
+		return (this.#state as LinkState) === LinkState.open;
+	}
+
+	/**
+	 * Asks the allocator for a slot.
+	 *
+	 * @param request - What the slot is for.
+	 * @param signal - Ends the wait.
+	 * @returns The grant, the allocator's refusal, or `allocator-lost`.
+	 */
+	acquire(request: SlotRequest, signal?: AbortSignal): ResultAsync<LinkGrant, Failure> {
+		return new ResultAsync(new Promise(resolve => {
+			const id = this.#nextId++;
+			const cancel = () => {
+				this.#channel?.send({type: 'cancel', id});
+			};
+
+			this.#services.add(request.service);
+			this.#pending.set(id, result => {
+				signal?.removeEventListener('abort', cancel);
+				resolve(result);
+			});
+			signal?.addEventListener('abort', cancel, {once: true});
+			this.#channel?.send({type: 'acquire', id, request});
+		}));
+	}
+
+	/**
+	 * Gives a slot back.
+	 *
+	 * @param grantId - Id of the grant.
+	 * @param service - Service of the slot.
+	 * @param release - How the attempt ended.
+	 */
+	release(grantId: string, service: string, release: SlotRelease): void {
+		this.#channel?.send({
+			type: 'release', grantId, service, release,
+		});
+	}
+
+	/**
+	 * Tells the allocator about a slot that another one gave.
+	 *
+	 * @param held - The slot.
+	 */
+	adopt(held: HeldSlot): void {
+		this.#channel?.send({type: 'adopt', held});
+	}
+
+	/**
+	 * Tells the allocator that this host uses another one for a service.
+	 *
+	 * @param service - Name of the service.
+	 */
+	announceMoved(service: string): void {
+		if (this.#services.delete(service)) {
+			this.#channel?.send({type: 'moved', service});
+		}
+	}
+
+	async #waitRetry(): Promise<void> {
+		const {signal} = this.#stop;
+		if (signal.aborted) {
+			return;
+		}
+
+		await new Promise<void>(resolve => {
+			const timer = setTimeout(resolve, this.#options.retryMilliseconds);
+			signal.addEventListener('abort', () => {
+				clearTimeout(timer);
+				resolve();
+			}, {once: true});
+		});
+	}
+
+	async #runConnection(): Promise<void> {
+		const {peerAddress, key, silenceMilliseconds} = this.#options;
+		const socket = new WebSocket(`ws://${peerAddress}${slotPath}`, {
+			headers: {[keyHeader]: key}, perMessageDeflate: false, handshakeTimeout: silenceMilliseconds,
+		});
+		this.#socket = socket;
+		const closed = new Promise<void>(resolve => {
+			socket.once('close', resolve);
+		});
+		socket.on('error', () => {
+			socket.terminate();
+		});
+		socket.once('open', () => {
+			this.#open(socket);
+		});
+		const timer = setInterval(() => {
+			this.#beat(socket);
+		}, this.#options.beatMilliseconds);
+		await closed;
+		clearInterval(timer);
+		this.#finishConnection();
+	}
+
+	#open(socket: WebSocket): void {
+		const {getRevision, onRevision, buildHello, clock} = this.#options;
+		this.#lastMessageAt = clock();
+		this.#channel = new FrameChannel({
+			socket,
+			getRevision,
+			onFrame: ({revision, messages}) => {
+				this.#lastMessageAt = clock();
+				for (const message of messages) {
+					this.#handle(message);
+				}
+
+				onRevision(revision, this.peerId);
+			},
+			onInvalid: () => {
+				logger.logFailure(LogLevel.warn, 'internal-error', createFailure('peer-message-invalid', {host: this.peerId}));
+			},
+		});
+		this.#channel.send(buildHello());
+		this.#state = LinkState.open;
+		logger.log(LogLevel.info, 'link-opened', {peer: this.peerId});
+		this.#notifyWaiting();
+	}
+
+	#beat(socket: WebSocket): void {
+		if (this.#state !== LinkState.open) {
+			return;
+		}
+
+		if (this.#options.clock() - this.#lastMessageAt > this.#options.silenceMilliseconds) {
+			socket.terminate();
+			return;
+		}
+
+		this.#channel?.send({type: 'beat', sequence: this.#nextId});
+	}
+
+	#finishConnection(): void {
+		if (this.#state === LinkState.open) {
+			logger.log(LogLevel.info, 'link-closed', {peer: this.peerId});
+		}
+
+		this.#state = LinkState.closed;
+		this.#bytes = this.bytes;
+		this.#channel = undefined;
+		this.#services.clear();
+		for (const [id, settle] of this.#pending) {
+			this.#pending.delete(id);
+			settle(err(createFailure('allocator-lost', {service: ''})));
+		}
+	}
+
+	#handle<T extends AllocatorMessage['type']>(message: Extract<AllocatorMessage, {type: T}>): void {
+		const handler = this.#handlers[message.type] as ((message: AllocatorMessage) => void) | undefined;
+		handler?.(message);
+	}
+
+	#takePending(id: number): Pending | undefined {
+		const settle = this.#pending.get(id);
+		this.#pending.delete(id);
+		return settle;
+	}
+
+	#notifyWaiting(): void {
+		for (const notify of this.#waiting) {
+			notify();
+		}
+
+		this.#waiting = [];
+	}
+}
--- /dev/null
+++ b/packages/peers/src/slot-messages.ts
@@ -0,0 +1,45 @@
+import type {ResultCodeId} from '@tanagerrail/results';
+import type {CrashRecord, SlotRelease, SlotRequest} from '@tanagerrail/routing';
+
+/** A slot that a host got from another allocator and still uses. */
+export type HeldSlot = {
+	readonly grantId: string;
+	readonly endpointId: string;
+	readonly request: SlotRequest;
+};
+
+/** First message of a host on a link. */
+export type HelloMessage = {
+	readonly type: 'hello';
+	readonly hostId: string;
+	readonly incarnation: string;
+	readonly failureDomain: string;
+	readonly held: readonly HeldSlot[];
+	readonly crashes: ReadonlyArray<CrashRecord & {readonly service: string}>;
+	readonly drains: ReadonlyArray<{readonly service: string; readonly endpointId: string}>;
+};
+
+/** Messages from a host to an allocator. */
+export type HostMessage =
+	| HelloMessage
+	| {readonly type: 'acquire'; readonly id: number; readonly request: SlotRequest}
+	| {readonly type: 'cancel'; readonly id: number}
+	| {readonly type: 'release'; readonly grantId: string; readonly service: string; readonly release: SlotRelease}
+	| {readonly type: 'adopt'; readonly held: HeldSlot}
+	| {readonly type: 'moved'; readonly service: string}
+	| {readonly type: 'beat'; readonly sequence: number};
+
+/** Messages from an allocator to a host. */
+export type AllocatorMessage =
+	| {readonly type: 'grant'; readonly id: number; readonly grantId: string; readonly endpointId: string; readonly address: string}
+	| {readonly type: 'refuse'; readonly id: number; readonly code: ResultCodeId; readonly parameters: Readonly<Record<string, string | number>>}
+	| {readonly type: 'crashes'; readonly service: string; readonly records: readonly CrashRecord[]}
+	| {readonly type: 'drain'; readonly service: string; readonly endpointId: string}
+	| {readonly type: 'goodbye'}
+	| {readonly type: 'beat'; readonly sequence: number};
+
+/** All messages of one event-loop turn, with the highest configuration revision that the sender knows. */
+export type Frame<T> = {
+	readonly revision: number;
+	readonly messages: readonly T[];
+};
--- /dev/null
+++ b/packages/peers/src/slot-router.ts
@@ -0,0 +1,255 @@
+import {err, ResultAsync, type Result} from 'neverthrow';
+import {rankHosts, type HostDirectory} from '@tanagerrail/membership';
+import {createFailure, type Failure} from '@tanagerrail/results';
+import {
+	createAllocatorSource, type SlotGrant, type SlotRelease, type SlotRequest, type SlotSource,
+} from '@tanagerrail/routing';
+import type {Clock} from '@tanagerrail/telemetry';
+import type {AllocatorRegistry} from './allocator-registry.js';
+import {LinkState, SlotLink, type LinkGrant} from './slot-link.js';
+import type {HelloMessage, HeldSlot} from './slot-messages.js';
+
+/** Options of {@link SlotRouter}. */
+export type SlotRouterOptions = {
+	readonly hostId: string;
+	readonly incarnation: string;
+	readonly failureDomain: string;
+	readonly directory: HostDirectory;
+	readonly registry: AllocatorRegistry;
+	readonly clock: Clock;
+	readonly key: string;
+	readonly getRevision: () => number;
+	readonly onRevision: (revision: number, hostId: string) => void;
+	/** Looks for a pause of the process before a grant is used. */
+	readonly checkPause: () => void;
+	/** Time allowed for opening a link before the next host in order is asked, in milliseconds. */
+	readonly openMilliseconds: number;
+};
+
+/** Defaults of {@link SlotRouterOptions}. */
+export const defaultSlotRouterOptions = {openMilliseconds: 250};
+
+/** A slot in use, with the host whose allocator takes it back. */
+type ActiveGrant = {ownerId: string; readonly held: HeldSlot};
+
+/** Finds the allocator of each service and passes slot requests to it. */
+export class SlotRouter implements SlotSource {
+	readonly #options: SlotRouterOptions;
+	readonly #links = new Map<string, SlotLink>();
+	readonly #active = new Set<ActiveGrant>();
+	readonly #owners = new Map<string, string>();
+	#epoch = 0;
+
+	constructor(options: Partial<SlotRouterOptions> & Omit<SlotRouterOptions, keyof typeof defaultSlotRouterOptions>) {
+		this.#options = {...defaultSlotRouterOptions, ...options};
+	}
+
+	/** Links by peer, with their state and bytes of control messages. */
+	get links(): readonly SlotLink[] {
+		return [...this.#links.values()];
+	}
+
+	acquire(request: SlotRequest, signal?: AbortSignal): ResultAsync<SlotGrant, Failure> {
+		return new ResultAsync(this.#acquire(request, signal));
+	}
+
+	/** Discards unused grants and all links after a pause. */
+	reset(): void {
+		this.#epoch += 1;
+		for (const link of this.#links.values()) {
+			link.reset();
+		}
+	}
+
+	/** Closes all links. */
+	close(): void {
+		for (const link of this.#links.values()) {
+			link.close();
+		}
+	}
+
+	async #acquire(request: SlotRequest, signal?: AbortSignal): Promise<Result<SlotGrant, Failure>> {
+		const {clock} = this.#options;
+		const deadline = clock() + request.remainingMilliseconds;
+		for (;;) {
+			const remainingMilliseconds = deadline - clock();
+			if (remainingMilliseconds <= 0) {
+				return err(createFailure('deadline-exceeded'));
+			}
+
+			if (signal?.aborted) {
+				return err(createFailure('slot-cancelled'));
+			}
+
+			const result = await this.#acquireOnce({...request, remainingMilliseconds}, signal);
+			// A lost allocator has not decided; the next host in order takes over.
+			if (result.isOk() || result.error.id !== 'allocator-lost') {
+				return result;
+			}
+		}
+	}
+
+	async #acquireOnce(request: SlotRequest, signal?: AbortSignal): Promise<Result<SlotGrant, Failure>> {
+		const link = await this.#findLink(request.service);
+		if (!link) {
+			return this.#acquireLocally(request, signal);
+		}
+
+		const epoch = this.#epoch;
+		const granted = await link.acquire(request, signal);
+		return granted.map(grant => this.#createGrant(link, grant, {request, epoch}));
+	}
+
+	async #acquireLocally(request: SlotRequest, signal?: AbortSignal): Promise<Result<SlotGrant, Failure>> {
+		const {registry, hostId, failureDomain, checkPause} = this.#options;
+		const allocator = registry.get(request.service);
+		if (!allocator) {
+			return err(createFailure('no-endpoint', {service: request.service}));
+		}
+
+		const epoch = this.#epoch;
+		const source = createAllocatorSource({
+			allocator,
+			hostId,
+			failureDomain,
+			isValid: () => {
+				checkPause();
+				return epoch === this.#epoch;
+			},
+		});
+		return source.acquire(request, signal);
+	}
+
+	/** Finds the first host in order whose link works; nothing means this host itself. */
+	async #findLink(service: string): Promise<SlotLink | undefined> {
+		const {directory, hostId, openMilliseconds} = this.#options;
+		const ranked = rankHosts(service, directory.listEntries().map(({id}) => id));
+		for (const id of ranked) {
+			if (id === hostId) {
+				this.#setOwner(service, hostId);
+				return undefined;
+			}
+
+			const link = this.#getLink(id);
+			if (link && (link.state === LinkState.open || await link.waitOpen(openMilliseconds))) {
+				this.#setOwner(service, id);
+				return link;
+			}
+		}
+
+		this.#setOwner(service, hostId);
+		return undefined;
+	}
+
+	#setOwner(service: string, hostId: string): void {
+		const former = this.#owners.get(service);
+		if (former === hostId) {
+			return;
+		}
+
+		this.#owners.set(service, hostId);
+		if (former === undefined) {
+			return;
+		}
+
+		const formerLink = this.#links.get(former);
+		formerLink?.announceMoved(service);
+		this.#carryOver(service, hostId);
+	}
+
+	/** Tells the new allocator of a service which slots are in use that the former one gave. */
+	#carryOver(service: string, hostId: string): void {
+		for (const grant of this.#active) {
+			if (grant.held.request.service !== service || this.#links.get(grant.ownerId)?.state === LinkState.open) {
+				continue;
+			}
+
+			grant.ownerId = hostId;
+			this.#adopt(grant);
+		}
+	}
+
+	#adopt({ownerId, held}: ActiveGrant): void {
+		const {hostId, failureDomain, registry} = this.#options;
+		if (ownerId !== hostId) {
+			this.#links.get(ownerId)?.adopt(held);
+			return;
+		}
+
+		const {grantId, endpointId, request} = held;
+		registry.get(request.service)?.adopt(grantId, {
+			hostId, failureDomain, request, endpointId,
+		});
+	}
+
+	#release(grant: ActiveGrant, release: SlotRelease): void {
+		const {ownerId, held: {grantId, request: {service}}} = grant;
+		if (!this.#active.delete(grant)) {
+			return;
+		}
+
+		if (ownerId === this.#options.hostId) {
+			this.#options.registry.get(service)?.release(grantId, release);
+			return;
+		}
+
+		this.#links.get(ownerId)?.release(grantId, service, release);
+	}
+
+	#getLink(id: string): SlotLink | undefined {
+		const {directory, key, clock, getRevision, onRevision} = this.#options;
+		const peerAddress = directory.find(id)?.peerAddress;
+		const known = this.#links.get(id);
+		if (known ?? peerAddress === undefined) {
+			return known;
+		}
+
+		const link = new SlotLink({
+			peerId: id,
+			peerAddress,
+			key,
+			clock,
+			getRevision,
+			onRevision,
+			buildHello: () => this.#buildHello(),
+			onGoodbye(peerId) {
+				directory.recordGoodbye(peerId);
+			},
+			onCrashes: ({service, records}) => {
+				for (const {fingerprint, crashes} of records) {
+					this.#options.registry.get(service)?.quarantine.record(fingerprint, crashes);
+				}
+			},
+			onDrain: ({service, endpointId}) => {
+				this.#options.registry.get(service)?.drainEndpoint(endpointId, 'another host saw a draining notice');
+			},
+		});
+		this.#links.set(id, link);
+		void link.run();
+		return link;
+	}
+
+	#buildHello(): HelloMessage {
+		const {hostId, incarnation, failureDomain} = this.#options;
+		return {
+			type: 'hello', hostId, incarnation, failureDomain, held: [], crashes: [], drains: [],
+		};
+	}
+
+	#createGrant(link: SlotLink, {grantId, endpointId, address}: LinkGrant, {request, epoch}: {request: SlotRequest; epoch: number}): SlotGrant {
+		const active: ActiveGrant = {ownerId: link.peerId, held: {grantId, endpointId, request}};
+		this.#active.add(active);
+		return {
+			endpointId,
+			address,
+			isUsable: () => {
+				this.#options.checkPause();
+				return epoch === this.#epoch && link.isFresh;
+			},
+			release: (release: SlotRelease) => {
+				this.#release(active, release);
+			},
+		};
+	}
+}
+
--- /dev/null
+++ b/packages/stand-ins/src/index.ts
@@ -0,0 +1,2 @@
+export * from './stand-in-endpoint.js';
+export * from './stand-in-host-list.js';
