--- a/packages/http/src/serve-idempotent.ts
+++ b/packages/http/src/serve-idempotent.ts
@@ -30,6 +30,7 @@
 		const slot = await slots.acquire({
 			service: service.name,
 			workClass: workClass.name,
+			kind: workClass.kind,
 			remainingMilliseconds: request.deadline - clock(),
 			fingerprint,
 			excluded,
--- a/packages/http/src/serve-keyed.ts
+++ b/packages/http/src/serve-keyed.ts
@@ -75,7 +75,7 @@
 	budget.add();
 	for (;;) {
 		const slot = await context.slots.acquire({
-			service: service.name, workClass: workClass.name, remainingMilliseconds: request.deadline - context.clock(), fingerprint, excluded, isImmediate: false,
+			service: service.name, workClass: workClass.name, kind: workClass.kind, remainingMilliseconds: request.deadline - context.clock(), fingerprint, excluded, isImmediate: false,
 		}, request.signal);
 		if (slot.isErr()) {
 			return err(slot.error);
--- a/packages/membership/src/host-directory.ts
+++ b/packages/membership/src/host-directory.ts
@@ -2,6 +2,7 @@
 	HostRole, HostState, type HostList, type ListedHost,
 } from '@tanagerrail/platform';
 import {createLogger, LogLevel, type Clock} from '@tanagerrail/telemetry';
+import {rankHosts} from './rank-hosts.js';
 
 const logger = createLogger('membership');
 
@@ -26,6 +27,8 @@
 	#hosts: readonly ListedHost[] = [];
 	#timer: NodeJS.Timeout | undefined;
 	#serialized = '[]';
+	// Ranking hashes once per host and service; requests only read the result.
+	readonly #ranks = new Map<string, readonly string[]>();
 
 	constructor(options: Partial<HostDirectoryOptions> & Pick<HostDirectoryOptions, 'hostList' | 'clock'>) {
 		this.#options = {...defaultHostDirectoryOptions, ...options};
@@ -61,6 +64,23 @@
 		return this.#hosts.filter(({role, state, id}) => role === HostRole.entry && state === HostState.live && !this.#hasLeft(id));
 	}
 
+	/**
+	 * Ranks the entry hosts that take work for a service.
+	 *
+	 * @param service - Name of the service.
+	 * @returns Their ids; the first one that works is the service's allocator.
+	 */
+	rankEntries(service: string): readonly string[] {
+		const known = this.#ranks.get(service);
+		if (known) {
+			return known;
+		}
+
+		const ranked = rankHosts(service, this.listEntries().map(({id}) => id));
+		this.#ranks.set(service, ranked);
+		return ranked;
+	}
+
 	/**
 	 * Lists the endpoints of a service.
 	 *
@@ -81,6 +101,16 @@
 		return this.#hosts.find(host => host.id === id);
 	}
 
+	/**
+	 * Tells whether a host or endpoint is listed.
+	 *
+	 * @param id - Its id.
+	 * @returns Whether the list has a row for it.
+	 */
+	has(id: string): boolean {
+		return this.#hosts.some(host => host.id === id);
+	}
+
 	/**
 	 * Records that a host said itself that it is leaving.
 	 *
@@ -103,10 +133,23 @@
 	}
 
 	#hasLeft(id: string): boolean {
-		return (this.#goodbyes.get(id) ?? -Infinity) > this.#options.clock();
+		return this.#goodbyes.has(id);
+	}
+
+	#expireGoodbyes(): void {
+		const now = this.#options.clock();
+		const expired = [...this.#goodbyes].filter(([, until]) => until <= now);
+		for (const [id] of expired) {
+			this.#goodbyes.delete(id);
+		}
+
+		if (expired.length > 0) {
+			this.#notify();
+		}
 	}
 
 	async #poll(): Promise<void> {
+		this.#expireGoodbyes();
 		const listed = await this.#options.hostList.list();
 		if (listed.isErr()) {
 			logger.logFailure(LogLevel.warn, 'host-list-unreadable', listed.error);
@@ -131,6 +174,7 @@
 	}
 
 	#notify(): void {
+		this.#ranks.clear();
 		for (const listener of this.#listeners) {
 			listener();
 		}
--- a/packages/peers/src/allocator-registry.ts
+++ b/packages/peers/src/allocator-registry.ts
@@ -1,7 +1,7 @@
 import type {Configuration} from '@tanagerrail/configuration';
-import {rankHosts, type HostDirectory} from '@tanagerrail/membership';
+import type {HostDirectory} from '@tanagerrail/membership';
 import {HostState} from '@tanagerrail/platform';
-import {Allocator, type EndpointStatus} from '@tanagerrail/routing';
+import {Allocator, type CrashRecord, type EndpointStatus} from '@tanagerrail/routing';
 import type {Clock} from '@tanagerrail/telemetry';
 
 /** Options of {@link AllocatorRegistry}. */
@@ -17,6 +17,15 @@
 	readonly expireMilliseconds: number;
 };
 
+/** What allocators tell the hosts that use them; each listener names the events it takes. */
+export type AllocatorListener = {
+	readonly onCreate?: (service: string, allocator: Allocator) => void;
+	/** Requests of the service wait while the host keeps leased slots. */
+	readonly onRecall?: (service: string, hostId: string) => void;
+	readonly onDrain?: (service: string, endpointId: string) => void;
+	readonly onCrash?: (service: string, record: CrashRecord) => void;
+};
+
 /** Defaults of {@link AllocatorRegistryOptions}. */
 export const defaultAllocatorRegistryOptions = {joinGraceMilliseconds: 500, expireMilliseconds: 5, random: Math.random};
 
@@ -27,6 +36,7 @@
 	readonly #options: AllocatorRegistryOptions;
 	readonly #entries = new Map<string, Entry>();
 	readonly #timer: NodeJS.Timeout;
+	readonly #listeners: AllocatorListener[] = [];
 
 	constructor(options: Partial<AllocatorRegistryOptions> & Pick<AllocatorRegistryOptions, 'hostId' | 'directory' | 'clock' | 'getConfiguration'>) {
 		this.#options = {...defaultAllocatorRegistryOptions, ...options};
@@ -38,6 +48,15 @@
 		}, this.#options.expireMilliseconds);
 	}
 
+	/**
+	 * Adds a listener for the events of all allocators.
+	 *
+	 * @param listener - Called for each event.
+	 */
+	addListener(listener: AllocatorListener): void {
+		this.#listeners.push(listener);
+	}
+
 	/**
 	 * Returns the allocator of a service.
 	 *
@@ -56,11 +75,26 @@
 		}
 
 		const {clock, random} = this.#options;
-		const allocator = new Allocator({service: configured, clock, random});
+		const allocator: Allocator = new Allocator({
+			service: configured,
+			clock,
+			random,
+			onRecall: hostId => {
+				this.#notify(({onRecall}) => onRecall?.(service, hostId));
+			},
+			onDrain: endpointId => {
+				this.#notify(({onDrain}) => onDrain?.(service, endpointId));
+			},
+			onCrash: fingerprint => {
+				const record = {fingerprint, crashes: allocator.quarantine.countCrashes(fingerprint)};
+				this.#notify(({onCrash}) => onCrash?.(service, record));
+			},
+		});
 		this.#entries.set(service, {
 			allocator, createdAt: clock(), users: new Set([this.#options.hostId]), moved: new Set(),
 		});
 		this.#updateEntry(service);
+		this.#notify(({onCreate}) => onCreate?.(service, allocator));
 		return allocator;
 	}
 
@@ -126,6 +160,12 @@
 		clearInterval(this.#timer);
 	}
 
+	#notify(send: (listener: AllocatorListener) => void): void {
+		for (const listener of this.#listeners) {
+			send(listener);
+		}
+	}
+
 	#expire(): void {
 		for (const [service, {allocator, createdAt}] of this.#entries) {
 			if (this.#options.clock() - createdAt < this.#options.joinGraceMilliseconds + 100) {
@@ -152,7 +192,7 @@
 		const ids = directory.listEntries().map(({id}) => id);
 		const listed = Math.max(1, ids.length);
 		const share = {
-			isFirstRank: (rankHosts(service, ids)[0] ?? hostId) === hostId,
+			isFirstRank: (directory.rankEntries(service)[0] ?? hostId) === hostId,
 			listed,
 			connected: entry.users.size,
 			moved: ids.filter(id => entry.moved.has(id)).length,
--- a/packages/peers/src/slot-link.ts
+++ b/packages/peers/src/slot-link.ts
@@ -32,18 +32,27 @@
 	readonly buildHello: () => HelloMessage;
 	readonly onRevision: (revision: number, hostId: string) => void;
 	readonly onGoodbye: (hostId: string) => void;
-	readonly onCrashes: (message: Extract<AllocatorMessage, {type: 'crashes'}>) => void;
-	readonly onDrain: (message: Extract<AllocatorMessage, {type: 'drain'}>) => void;
+	/** Called for each lease, recall, crash and draining notice. */
+	readonly onNotice: (message: AllocatorNotice, link: SlotLink) => void;
+	/** Called when the connection is gone; everything the allocator gave is void then, except slots in use. */
+	readonly onClosed: (link: SlotLink) => void;
 	/** Time between heartbeats, in milliseconds. */
 	readonly beatMilliseconds: number;
 	/** A link without any message for this long is given up, in milliseconds. */
 	readonly silenceMilliseconds: number;
+	/** A leased slot is used only when the allocator was heard of within this time, in milliseconds. */
+	readonly leaseMilliseconds: number;
 	/** Time between two tries to connect, in milliseconds. */
 	readonly retryMilliseconds: number;
 };
 
 /** Defaults of {@link SlotLinkOptions}. */
-export const defaultSlotLinkOptions = {beatMilliseconds: 100, silenceMilliseconds: 500, retryMilliseconds: 250};
+export const defaultSlotLinkOptions = {
+	beatMilliseconds: 100, silenceMilliseconds: 500, leaseMilliseconds: 300, retryMilliseconds: 250,
+};
+
+/** Messages of an allocator that answer no request. */
+export type AllocatorNotice = Extract<AllocatorMessage, {type: 'lease' | 'recall' | 'crashes' | 'drain'}>;
 
 /** A slot that an allocator on another host gave. */
 export type LinkGrant = {readonly grantId: string; readonly endpointId: string; readonly address: string};
@@ -75,11 +84,17 @@
 		refuse: ({id, code, parameters}) => {
 			this.#takePending(id)?.(err(createFailure(code, parameters)));
 		},
+		lease: message => {
+			this.#options.onNotice(message, this);
+		},
+		recall: message => {
+			this.#options.onNotice(message, this);
+		},
 		crashes: message => {
-			this.#options.onCrashes(message);
+			this.#options.onNotice(message, this);
 		},
 		drain: message => {
-			this.#options.onDrain(message);
+			this.#options.onNotice(message, this);
 		},
 		goodbye: () => {
 			this.#options.onGoodbye(this.peerId);
@@ -115,6 +130,11 @@
 		return this.#state === LinkState.open && this.#options.clock() - this.#lastMessageAt < this.#options.silenceMilliseconds;
 	}
 
+	/** Whether the allocator was heard of so recently that it has not taken leased slots back. */
+	get isLeaseFresh(): boolean {
+		return this.#state === LinkState.open && this.#options.clock() - this.#lastMessageAt < this.#options.leaseMilliseconds;
+	}
+
 	/** Keeps the link up until it is closed. */
 	async run(): Promise<void> {
 		while (!this.#stop.signal.aborted) {
@@ -193,7 +213,7 @@
 	}
 
 	/**
-	 * Tells the allocator about a slot that another one gave.
+	 * Tells the allocator about a slot in use that was leased or that another allocator gave.
 	 *
 	 * @param held - The slot.
 	 */
@@ -201,6 +221,16 @@
 		this.#channel?.send({type: 'adopt', held});
 	}
 
+	/**
+	 * Gives a leased slot back.
+	 *
+	 * @param grantId - Id of the lease.
+	 * @param service - Service of the slot.
+	 */
+	releaseLease(grantId: string, service: string): void {
+		this.#channel?.send({type: 'return', grantId, service});
+	}
+
 	/**
 	 * Tells the allocator that this host uses another one for a service.
 	 *
@@ -296,6 +326,7 @@
 		this.#bytes = this.bytes;
 		this.#channel = undefined;
 		this.#services.clear();
+		this.#options.onClosed(this);
 		for (const [id, settle] of this.#pending) {
 			this.#pending.delete(id);
 			settle(err(createFailure('allocator-lost', {service: ''})));
--- a/packages/peers/src/slot-messages.ts
+++ b/packages/peers/src/slot-messages.ts
@@ -26,6 +26,7 @@
 	| {readonly type: 'cancel'; readonly id: number}
 	| {readonly type: 'release'; readonly grantId: string; readonly service: string; readonly release: SlotRelease}
 	| {readonly type: 'adopt'; readonly held: HeldSlot}
+	| {readonly type: 'return'; readonly grantId: string; readonly service: string}
 	| {readonly type: 'moved'; readonly service: string}
 	| {readonly type: 'beat'; readonly sequence: number};
 
@@ -33,6 +34,8 @@
 export type AllocatorMessage =
 	| {readonly type: 'grant'; readonly id: number; readonly grantId: string; readonly endpointId: string; readonly address: string}
 	| {readonly type: 'refuse'; readonly id: number; readonly code: ResultCodeId; readonly parameters: Readonly<Record<string, string | number>>}
+	| {readonly type: 'lease'; readonly service: string; readonly grantId: string; readonly endpointId: string; readonly address: string}
+	| {readonly type: 'recall'; readonly service: string}
 	| {readonly type: 'crashes'; readonly service: string; readonly records: readonly CrashRecord[]}
 	| {readonly type: 'drain'; readonly service: string; readonly endpointId: string}
 	| {readonly type: 'goodbye'}
--- a/packages/peers/src/slot-router.ts
+++ b/packages/peers/src/slot-router.ts
@@ -1,12 +1,19 @@
-import {err, ResultAsync, type Result} from 'neverthrow';
-import {rankHosts, type HostDirectory} from '@tanagerrail/membership';
+import {
+	err, ok, ResultAsync, type Result,
+} from 'neverthrow';
+import type {HostDirectory} from '@tanagerrail/membership';
 import {createFailure, type Failure} from '@tanagerrail/results';
+import {WorkKind} from '@tanagerrail/configuration';
 import {
 	createAllocatorSource, type SlotGrant, type SlotRelease, type SlotRequest, type SlotSource,
 } from '@tanagerrail/routing';
 import type {Clock} from '@tanagerrail/telemetry';
 import type {AllocatorRegistry} from './allocator-registry.js';
-import {LinkState, SlotLink, type LinkGrant} from './slot-link.js';
+import {HostMemory} from './host-memory.js';
+import {LeasePool} from './lease-pool.js';
+import {
+	LinkState, SlotLink, type AllocatorNotice, type LinkGrant,
+} from './slot-link.js';
 import type {HelloMessage, HeldSlot} from './slot-messages.js';
 
 /** Options of {@link SlotRouter}. */
@@ -32,16 +39,55 @@
 /** A slot in use, with the host whose allocator takes it back. */
 type ActiveGrant = {ownerId: string; readonly held: HeldSlot};
 
+type NoticeHandlers = {readonly [T in AllocatorNotice['type']]: (notice: Extract<AllocatorNotice, {type: T}>, link: SlotLink) => void};
+
 /** Finds the allocator of each service and passes slot requests to it. */
 export class SlotRouter implements SlotSource {
 	readonly #options: SlotRouterOptions;
 	readonly #links = new Map<string, SlotLink>();
 	readonly #active = new Set<ActiveGrant>();
 	readonly #owners = new Map<string, string>();
+	readonly #leases = new LeasePool();
+	readonly #memory: HostMemory;
 	#epoch = 0;
 
+	readonly #noticeHandlers: NoticeHandlers = {
+		lease: ({service, grantId, endpointId, address}, link) => {
+			this.#leases.add({
+				grantId, endpointId, address, service, link,
+			});
+		},
+		recall: ({service}, link) => {
+			for (const {grantId} of this.#leases.remove(link, service)) {
+				link.releaseLease(grantId, service);
+			}
+		},
+		crashes: ({service, records}) => {
+			this.#memory.recordCrashes(service, records);
+		},
+		drain: ({service, endpointId}) => {
+			this.#memory.recordDrain(service, endpointId);
+		},
+	};
+
 	constructor(options: Partial<SlotRouterOptions> & Omit<SlotRouterOptions, keyof typeof defaultSlotRouterOptions>) {
 		this.#options = {...defaultSlotRouterOptions, ...options};
+		const {clock, directory, registry} = options;
+		this.#memory = new HostMemory({clock});
+		directory.onChange(() => {
+			this.#memory.expire(id => directory.has(id));
+		});
+		registry.addListener({
+			onCreate: (service, allocator) => {
+				this.#memory.announce(service, allocator);
+			},
+			onDrain: (service, endpointId) => {
+				this.#memory.recordDrain(service, endpointId);
+			},
+			onCrash: (service, record) => {
+				this.#memory.recordCrashes(service, [record]);
+			},
+		});
 	}
 
 	/** Links by peer, with their state and bytes of control messages. */
@@ -56,6 +102,7 @@
 	/** Discards unused grants and all links after a pause. */
 	reset(): void {
 		this.#epoch += 1;
+		this.#leases.reset();
 		for (const link of this.#links.values()) {
 			link.reset();
 		}
@@ -96,10 +143,25 @@
 		}
 
 		const epoch = this.#epoch;
+		const lease = this.#takeLease(request, link);
+		if (lease) {
+			link.adopt({grantId: lease.grantId, endpointId: lease.endpointId, request});
+			return ok(this.#createGrant(link, lease, {request, epoch}));
+		}
+
 		const granted = await link.acquire(request, signal);
 		return granted.map(grant => this.#createGrant(link, grant, {request, epoch}));
 	}
 
+	#takeLease(request: SlotRequest, link: SlotLink): LinkGrant | undefined {
+		if (request.kind !== WorkKind.short || this.#memory.hasCrashed(request.service, request.fingerprint)) {
+			return undefined;
+		}
+
+		this.#options.checkPause();
+		return this.#leases.take(request, lease => lease.link === link && link.isLeaseFresh && !this.#memory.isDraining(request.service, lease.endpointId));
+	}
+
 	async #acquireLocally(request: SlotRequest, signal?: AbortSignal): Promise<Result<SlotGrant, Failure>> {
 		const {registry, hostId, failureDomain, checkPause} = this.#options;
 		const allocator = registry.get(request.service);
@@ -123,7 +185,7 @@
 	/** Finds the first host in order whose link works; nothing means this host itself. */
 	async #findLink(service: string): Promise<SlotLink | undefined> {
 		const {directory, hostId, openMilliseconds} = this.#options;
-		const ranked = rankHosts(service, directory.listEntries().map(({id}) => id));
+		const ranked = directory.rankEntries(service);
 		for (const id of ranked) {
 			if (id === hostId) {
 				this.#setOwner(service, hostId);
@@ -215,13 +277,11 @@
 			onGoodbye(peerId) {
 				directory.recordGoodbye(peerId);
 			},
-			onCrashes: ({service, records}) => {
-				for (const {fingerprint, crashes} of records) {
-					this.#options.registry.get(service)?.quarantine.record(fingerprint, crashes);
-				}
+			onNotice: (notice, from) => {
+				this.#handleNotice(notice, from);
 			},
-			onDrain: ({service, endpointId}) => {
-				this.#options.registry.get(service)?.drainEndpoint(endpointId, 'another host saw a draining notice');
+			onClosed: from => {
+				this.#leases.drop(from);
 			},
 		});
 		this.#links.set(id, link);
@@ -232,10 +292,15 @@
 	#buildHello(): HelloMessage {
 		const {hostId, incarnation, failureDomain} = this.#options;
 		return {
-			type: 'hello', hostId, incarnation, failureDomain, held: [], crashes: [], drains: [],
+			type: 'hello', hostId, incarnation, failureDomain, held: [], ...this.#memory.list(),
 		};
 	}
 
+	#handleNotice<T extends AllocatorNotice['type']>(notice: Extract<AllocatorNotice, {type: T}>, link: SlotLink): void {
+		const handle = this.#noticeHandlers[notice.type];
+		handle(notice, link);
+	}
+
 	#createGrant(link: SlotLink, {grantId, endpointId, address}: LinkGrant, {request, epoch}: {request: SlotRequest; epoch: number}): SlotGrant {
 		const active: ActiveGrant = {ownerId: link.peerId, held: {grantId, endpointId, request}};
 		this.#active.add(active);
--- a/packages/peers/src/slot-server.ts
+++ b/packages/peers/src/slot-server.ts
@@ -2,16 +2,11 @@
 import type {Duplex} from 'node:stream';
 import {WebSocketServer, type WebSocket} from 'ws';
 import type {HostDirectory} from '@tanagerrail/membership';
-import {createFailure} from '@tanagerrail/results';
-import {createLogger, LogLevel} from '@tanagerrail/telemetry';
-import type {AllocationTicket} from '@tanagerrail/routing';
 import type {AllocatorRegistry} from './allocator-registry.js';
-import {FrameChannel} from './frame-channel.js';
-import type {AllocatorMessage, HelloMessage, HostMessage} from './slot-messages.js';
+import {PeerLink} from './peer-link.js';
+import type {AllocatorMessage} from './slot-messages.js';
 import {keyHeader, verifyKey} from './verify-key.js';
 
-const logger = createLogger('peers');
-
 /** Path of the slot channel on the peer address. */
 export const slotPath = '/slots';
 
@@ -40,6 +35,17 @@
 
 	constructor(options: Partial<SlotServerOptions> & Omit<SlotServerOptions, 'silenceMilliseconds'>) {
 		this.#options = {...defaultSlotServerOptions, ...options};
+		this.#options.registry.addListener({
+			onRecall: (service, hostId) => {
+				this.#sendTo(hostId, {type: 'recall', service});
+			},
+			onDrain: (service, endpointId) => {
+				this.#sendToAll({type: 'drain', service, endpointId});
+			},
+			onCrash: (service, record) => {
+				this.#sendToAll({type: 'crashes', service, records: [record]});
+			},
+		});
 		this.#options.server.on('upgrade', (req: IncomingMessage, socket: Duplex, head: Buffer) => {
 			this.#accept(req, socket, head);
 		});
@@ -52,9 +58,7 @@
 
 	/** Tells all peers that this host hands out no slots any more. */
 	announceGoodbye(): void {
-		for (const link of this.#links.values()) {
-			link.send({type: 'goodbye'});
-		}
+		this.#sendToAll({type: 'goodbye'});
 	}
 
 	/** Breaks all links. */
@@ -64,6 +68,20 @@
 		}
 	}
 
+	#sendTo(hostId: string, message: AllocatorMessage): void {
+		for (const link of this.#links.values()) {
+			if (link.hostId === hostId) {
+				link.send(message);
+			}
+		}
+	}
+
+	#sendToAll(message: AllocatorMessage): void {
+		for (const link of this.#links.values()) {
+			link.send(message);
+		}
+	}
+
 	#accept(req: IncomingMessage, socket: Duplex, head: Buffer): void {
 		if (req.url !== slotPath || !verifyKey(req.headers[keyHeader], this.#options.keys)) {
 			socket.end('HTTP/1.1 401 Unauthorized\r\nconnection: close\r\ncontent-length: 0\r\n\r\n');
@@ -83,146 +101,3 @@
 		});
 	}
 }
-
-type MessageHandlers = {readonly [T in HostMessage['type']]: (message: Extract<HostMessage, {type: T}>) => void};
-
-/** One peer's link to the allocators of this host. */
-class PeerLink {
-	readonly #options: SlotServerOptions;
-	readonly #channel: FrameChannel<AllocatorMessage, HostMessage>;
-	readonly #tickets = new Map<number, AllocationTicket>();
-	readonly #timer: NodeJS.Timeout;
-	#hello: HelloMessage | undefined;
-	#hasMessage = true;
-
-	readonly #handlers: MessageHandlers = {
-		hello: message => {
-			this.#hello = message;
-			this.#options.directory.recordHello(message.hostId);
-			this.#adopt(message);
-			logger.log(LogLevel.info, 'peer-connected', {peer: message.hostId, incarnation: message.incarnation});
-		},
-		acquire: ({id, request}) => {
-			this.#acquire(id, request);
-		},
-		cancel: ({id}) => {
-			const ticket = this.#tickets.get(id);
-			if (ticket) {
-				this.#options.registry.get(ticket.request.service)?.cancel(ticket);
-			}
-		},
-		release: ({grantId, service, release}) => {
-			this.#options.registry.get(service)?.release(grantId, release);
-		},
-		adopt: ({held}) => {
-			this.#adoptSlot(held);
-		},
-		moved: ({service}) => {
-			this.#options.registry.recordMoved(service, this.hostId);
-		},
-		beat: ({sequence}) => {
-			this.send({type: 'beat', sequence});
-		},
-	};
-
-	constructor(socket: WebSocket, options: SlotServerOptions) {
-		this.#options = options;
-		this.#channel = new FrameChannel({
-			socket,
-			getRevision: options.getRevision,
-			onFrame: ({revision, messages}) => {
-				this.#hasMessage = true;
-				for (const message of messages) {
-					this.#handle(message);
-				}
-
-				options.onRevision(revision, this.hostId);
-			},
-			onInvalid: () => {
-				logger.logFailure(LogLevel.warn, 'internal-error', createFailure('peer-message-invalid', {host: this.hostId}));
-			},
-		});
-		this.#timer = setInterval(() => {
-			if (!this.#hasMessage) {
-				socket.terminate();
-			}
-
-			this.#hasMessage = false;
-		}, options.silenceMilliseconds);
-	}
-
-	get hostId(): string {
-		return this.#hello?.hostId ?? '';
-	}
-
-	send(message: AllocatorMessage): void {
-		this.#channel.send(message);
-	}
-
-	close(): void {
-		clearInterval(this.#timer);
-		if (this.#hello) {
-			this.#options.registry.removeHost(this.hostId);
-			logger.log(LogLevel.info, 'peer-lost', {peer: this.hostId});
-		}
-	}
-
-	#handle<T extends HostMessage['type']>(message: Extract<HostMessage, {type: T}>): void {
-		const handler = this.#handlers[message.type] as ((message: HostMessage) => void) | undefined;
-		if (handler && (this.#hello ?? message.type === 'hello')) {
-			handler(message);
-		}
-	}
-
-	#acquire(id: number, request: AllocationTicket['request']): void {
-		const {registry} = this.#options;
-		const allocator = registry.get(request.service);
-		if (!allocator) {
-			this.send({
-				type: 'refuse', id, code: 'no-endpoint', parameters: {service: request.service},
-			});
-			return;
-		}
-
-		registry.addUser(request.service, this.hostId);
-		let isSettled = false;
-		const ticket = allocator.acquire({
-			hostId: this.hostId,
-			failureDomain: this.#hello?.failureDomain ?? '',
-			request,
-			onSettled: result => {
-				isSettled = true;
-				this.#tickets.delete(id);
-				this.send(result.isOk()
-					? {type: 'grant', id, ...result.value}
-					: {
-						type: 'refuse', id, code: result.error.id, parameters: result.error.parameters,
-					});
-			},
-		});
-		if (!isSettled) {
-			this.#tickets.set(id, ticket);
-		}
-	}
-
-	#adopt({held, crashes, drains}: HelloMessage): void {
-		const {registry} = this.#options;
-		for (const slot of held) {
-			this.#adoptSlot(slot);
-		}
-
-		for (const {service, fingerprint, crashes: count} of crashes) {
-			registry.get(service)?.quarantine.record(fingerprint, count);
-		}
-
-		for (const {service, endpointId} of drains) {
-			registry.get(service)?.drainEndpoint(endpointId, `host ${this.hostId} saw a draining notice`);
-		}
-	}
-
-	#adoptSlot({grantId, endpointId, request}: HelloMessage['held'][number]): void {
-		this.#options.registry.get(request.service)?.adopt(grantId, {
-			hostId: this.hostId, failureDomain: this.#hello?.failureDomain ?? '', request, endpointId,
-		});
-	}
-}
--- a/packages/routing/src/allocator-source.ts
+++ b/packages/routing/src/allocator-source.ts
@@ -1,6 +1,7 @@
 import {err, ok, ResultAsync} from 'neverthrow';
 import type {Failure} from '@tanagerrail/results';
-import type {AllocationTicket, Allocator} from './allocator.js';
+import type {AllocationTicket} from './allocation.js';
+import type {Allocator} from './allocator.js';
 import type {SlotGrant, SlotRequest, SlotSource} from './slot-source.js';
 
 /** Options of {@link createAllocatorSource}. */
--- a/packages/routing/src/allocator.ts
+++ b/packages/routing/src/allocator.ts
@@ -1,15 +1,20 @@
-import {err, ok, type Result} from 'neverthrow';
+import {err, ok} from 'neverthrow';
 import {WorkKind, type ServiceConfiguration, type WorkClass} from '@tanagerrail/configuration';
 import {createFailure, type Failure} from '@tanagerrail/results';
 import {
 	checkInvariant, createLogger, LogLevel, type Clock,
 } from '@tanagerrail/telemetry';
+import type {
+	AllocatedSlot, AllocationRequest, AllocationTicket, EndpointStatus, HeldSlotUse, SlotUse,
+} from './allocation.js';
 import {AttemptOutcome} from './attempt-outcome.js';
 import {EndpointPool, type ListedEndpoint} from './endpoint-pool.js';
-import type {Endpoint, EndpointState} from './endpoint.js';
+import {EndpointState, type Endpoint} from './endpoint.js';
+import {LeaseBook} from './lease-book.js';
 import {Quarantine} from './quarantine.js';
 import {computeQuota, type SlotShare} from './slot-share.js';
-import type {SlotRelease, SlotRequest} from './slot-source.js';
+import type {SlotRelease} from './slot-source.js';
+import {WaitEstimator} from './wait-estimator.js';
 import {WorkQueue} from './work-queue.js';
 
 const logger = createLogger('routing');
@@ -18,45 +23,26 @@
 export type AllocatorOptions = {
 	readonly service: ServiceConfiguration;
 	readonly clock: Clock;
+	/** Random numbers between 0 and 1. */
 	readonly random: () => number;
+	/** Called when requests wait while a host keeps leased slots. */
+	readonly onRecall: (hostId: string) => void;
+	/** Called when an endpoint announces that it is leaving, so that the next allocator learns it too. */
+	readonly onDrain: (endpointId: string) => void;
+	/** Called when a request has crashed an endpoint. */
+	readonly onCrash: (fingerprint: string) => void;
 };
 
-/** A slot that the allocator gave to a host. */
-export type AllocatedSlot = {
-	readonly grantId: string;
-	readonly endpointId: string;
-	readonly address: string;
-};
-
-/** A request for a slot by one host. */
-export type AllocationRequest = {
-	readonly hostId: string;
-	readonly failureDomain: string;
-	readonly request: SlotRequest;
-	/** Called once, at once or later. */
-	readonly onSettled: (result: Result<AllocatedSlot, Failure>) => void;
-};
-
-/** A waiting request; it can be cancelled. */
-export type AllocationTicket = AllocationRequest & {
-	readonly workClass: WorkClass;
-	readonly arrivedAt: number;
-	readonly deadline: number;
-};
-
-/** State of one endpoint for operators. */
-export type EndpointStatus = {
-	readonly id: string;
-	readonly state: EndpointState;
-	readonly reason: string;
-	readonly slots: number;
-	readonly inUse: number;
+/** Defaults of {@link AllocatorOptions}. */
+export const defaultAllocatorOptions = {
+	random: Math.random,
+	onRecall: () => undefined,
+	onDrain: () => undefined,
+	onCrash: () => undefined,
 };
 
 type Grant = {readonly endpoint: Endpoint; readonly ticket: AllocationTicket; readonly grantedAt: number};
 
-const holdTimeWeight = 0.05;
-
 /** Hands out the slots of one service from one late-binding queue. */
 export class Allocator {
 	readonly #options: AllocatorOptions;
@@ -64,27 +50,29 @@
 	readonly #short = new WorkQueue<AllocationTicket>();
 	readonly #long = new WorkQueue<AllocationTicket>();
 	readonly #grants = new Map<string, Grant>();
+	readonly #leases: LeaseBook;
 	readonly #quarantine: Quarantine;
-	readonly #suspects = new Set<string>();
+	readonly #estimator: WaitEstimator;
+	// Hosts carry grants over to the next allocator, so ids must differ between allocators.
+	readonly #grantPrefix: string;
+	#service: ServiceConfiguration;
 	#share: SlotShare = {
 		isFirstRank: true, listed: 1, connected: 1, moved: 0,
 	};
 
 	#reserved = 0;
 	#longInUse = 0;
-	#shortHoldTime: number;
 	#nextGrant = 1;
-	// Hosts carry grants over to the next allocator, so ids must differ between allocators.
-	readonly #grantPrefix: string;
 
-	constructor(options: AllocatorOptions) {
-		this.#options = options;
-		const {service, clock, random} = options;
+	constructor(options: Partial<AllocatorOptions> & Pick<AllocatorOptions, 'service' | 'clock'>) {
+		this.#options = {...defaultAllocatorOptions, ...options};
+		const {service, clock, random, onRecall} = this.#options;
+		this.#service = service;
 		this.#endpoints = new EndpointPool({slotsPerEndpoint: service.slotsPerEndpoint, random});
 		this.#quarantine = new Quarantine({clock});
+		this.#leases = new LeaseBook({onRecall});
+		this.#estimator = new WaitEstimator(service);
 		this.#grantPrefix = random().toString(36).slice(2, 8);
-		const shortTimes = service.workClasses.filter(({kind}) => kind === WorkKind.short).map(({usualMilliseconds}) => usualMilliseconds);
-		this.#shortHoldTime = Math.min(...shortTimes, Number.MAX_SAFE_INTEGER);
 	}
 
 	get quarantine(): Quarantine {
@@ -104,6 +92,11 @@
 		return this.#grants.size;
 	}
 
+	/** Slots that hosts keep for their next request. */
+	get leased(): number {
+		return this.#leases.size;
+	}
+
 	/** Slots this allocator may hand out now. */
 	get quota(): number {
 		return Math.max(0, computeQuota(this.#endpoints.slots, this.#share) - this.#reserved);
@@ -119,6 +112,17 @@
 		this.#grantWaiting();
 	}
 
+	/**
+	 * Applies a new configuration; waits and slots in use stay.
+	 *
+	 * @param service - The service's new configuration.
+	 */
+	updateService(service: ServiceConfiguration): void {
+		this.#service = service;
+		this.#endpoints.updateSlots(service.slotsPerEndpoint);
+		this.#grantWaiting();
+	}
+
 	/**
 	 * Sets which hosts share the service.
 	 *
@@ -139,19 +143,18 @@
 	 * @returns The ticket of the wait.
 	 */
 	acquire(allocation: AllocationRequest): AllocationTicket {
-		const {service} = this.#options;
-		const ticket = this.#createTicket(allocation, this.#options.clock());
-		const {workClass} = ticket;
+		const ticket = this.#createTicket(allocation, allocation.onSettled);
 		const refusal = this.#findRefusal(ticket);
 		if (refusal) {
 			ticket.onSettled(err(refusal));
 			return ticket;
 		}
 
-		this.#getQueue(workClass).enqueue(ticket);
+		const queue = this.#getQueue(ticket.workClass);
+		queue.enqueue(ticket);
 		this.#grantWaiting();
-		if (ticket.request.isImmediate && this.#getQueue(workClass).remove(ticket)) {
-			ticket.onSettled(err(createFailure('no-free-slot', {service: service.name})));
+		if (ticket.request.isImmediate && queue.remove(ticket)) {
+			ticket.onSettled(err(createFailure('no-free-slot', {service: this.#service.name})));
 		}
 
 		return ticket;
@@ -189,22 +192,42 @@
 	}
 
 	/**
-	 * Counts a slot that a host got from another allocator and still uses.
+	 * Gives a slot back, or leaves one with the host when there are enough.
+	 *
+	 * @param grantId - Id of the grant.
+	 * @param release - How the attempt ended.
+	 * @returns A slot that the host may keep for its next request.
+	 */
+	releaseOrLease(grantId: string, release: SlotRelease): AllocatedSlot | undefined {
+		const grant = this.#grants.get(grantId);
+		this.release(grantId, release);
+		return grant && this.#offerLease(grant, release);
+	}
+
+	/**
+	 * Counts a slot that a host uses without having asked for it: it was leased, or another allocator gave it.
 	 *
 	 * @param grantId - Id under which the host will give it back.
 	 * @param held - The host, the endpoint and the request.
 	 */
-	adopt(grantId: string, {endpointId, ...held}: Omit<AllocationRequest, 'onSettled'> & {readonly endpointId: string}): void {
+	adopt(grantId: string, {endpointId, ...held}: HeldSlotUse): void {
+		this.#leases.remove(grantId);
 		const endpoint = this.#endpoints.get(endpointId);
 		if (!endpoint || this.#grants.has(grantId)) {
 			return;
 		}
 
-		const now = this.#options.clock();
-		const ticket = this.#createTicket({...held, onSettled() {/* The slot is in use already. */}}, now);
-		endpoint.take(grantId, ticket.workClass, now);
-		this.#grants.set(grantId, {endpoint, ticket, grantedAt: now});
-		this.#longInUse += ticket.workClass.kind === WorkKind.long ? 1 : 0;
+		this.#addGrant(grantId, this.#createTicket(held, () => undefined), endpoint);
+	}
+
+	/**
+	 * Takes a leased slot back.
+	 *
+	 * @param grantId - Id of the lease.
+	 */
+	releaseLease(grantId: string): void {
+		this.#leases.remove(grantId);
+		this.#grantWaiting();
 	}
 
 	/**
@@ -217,11 +240,14 @@
 			queue.drop(ticket => ticket.hostId === hostId);
 		}
 
+		this.#leases.removeHost(hostId);
 		for (const [grantId, {ticket}] of this.#grants) {
 			if (ticket.hostId === hostId) {
 				this.release(grantId, {outcome: AttemptOutcome.cancelled, milliseconds: 0, isDraining: false});
 			}
 		}
+
+		this.#grantWaiting();
 	}
 
 	/** Refuses the requests whose deadline cannot be met any more; called by a timer. */
@@ -252,8 +278,8 @@
 	 * @returns State, reason and slots of each endpoint.
 	 */
 	describe(): EndpointStatus[] {
-		return this.#endpoints.list().map(({id, state, reason, slots, inUse}) => ({
-			id, state, reason, slots, inUse,
+		return this.#endpoints.list().map(({id, state, reason, slots, inUse, leased}) => ({
+			id, state, reason, slots, inUse, leased,
 		}));
 	}
 
@@ -261,40 +287,42 @@
 	 * Computes how long a request would wait now.
 	 *
 	 * @param waiter - Work class and deadline of the request.
-	 * @returns Expected wait in milliseconds: work ahead of it divided by the rate at which slots become free.
+	 * @returns Expected wait in milliseconds.
 	 */
 	computeExpectedWait(waiter: Pick<AllocationTicket, 'workClass' | 'deadline'>): number {
-		if (waiter.workClass.kind === WorkKind.long) {
-			const longSlots = Math.max(1, this.#longLimit);
-			return this.#longInUse < longSlots ? 0 : (this.#long.countAhead(waiter) + 1) * waiter.workClass.usualMilliseconds / longSlots;
+		const {workClass} = waiter;
+		const ahead = this.#getQueue(workClass).countAhead(waiter);
+		if (workClass.kind === WorkKind.long) {
+			return this.#estimator.compute(workClass, {ahead, slots: this.#longLimit, isFree: this.#longInUse < this.#longLimit && ahead === 0});
 		}
 
-		const shortSlots = Math.max(1, this.quota - this.#longInUse);
-		const isFree = this.#grants.size < this.quota && this.#short.length === 0;
-		return isFree ? 0 : (this.#short.countAhead(waiter) + 1) * this.#shortHoldTime / shortSlots;
+		const {quota} = this;
+		const isFree = ahead === 0 && this.#grants.size < quota && (this.#endpoints.hasFreeSlot || this.#leases.size > 0);
+		return this.#estimator.compute(workClass, {ahead, slots: quota - this.#longInUse, isFree});
 	}
 
+	/** Slots that long work may hold; at least one, or long work of a small service would never run. */
 	get #longLimit(): number {
-		return Math.ceil(this.#options.service.longWorkShare * this.quota);
+		return Math.max(1, Math.ceil(this.#service.longWorkShare * this.quota));
 	}
 
 	#getQueue(workClass: WorkClass): WorkQueue<AllocationTicket> {
 		return workClass.kind === WorkKind.long ? this.#long : this.#short;
 	}
 
-	#createTicket(allocation: AllocationRequest, now: number): AllocationTicket {
-		const {workClasses} = this.#options.service;
-		const workClass = workClasses.find(({name}) => name === allocation.request.workClass) ?? workClasses[0]!;
+	#createTicket(use: SlotUse, onSettled: AllocationTicket['onSettled']): AllocationTicket {
+		const {workClasses} = this.#service;
+		const workClass = workClasses.find(({name}) => name === use.request.workClass) ?? workClasses[0]!;
 		return {
-			...allocation, workClass, arrivedAt: now, deadline: now + allocation.request.remainingMilliseconds,
+			...use, onSettled, workClass, deadline: this.#options.clock() + use.request.remainingMilliseconds,
 		};
 	}
 
 	#findRefusal(ticket: AllocationTicket): Failure | undefined {
 		const {request, workClass} = ticket;
-		const {name, maximumWaitFraction} = this.#options.service;
+		const {name, maximumWaitFraction} = this.#service;
 		if (this.#quarantine.has(request.fingerprint)) {
-			return createFailure('quarantined', {crashes: this.#quarantine.countCrashes(request.fingerprint)});
+			return this.#createQuarantineFailure(request.fingerprint);
 		}
 
 		if (this.#endpoints.slots === 0) {
@@ -310,21 +338,29 @@
 		return undefined;
 	}
 
+	#createQuarantineFailure(fingerprint: string): Failure {
+		return createFailure('quarantined', {crashes: this.#quarantine.countCrashes(fingerprint)});
+	}
+
 	#grantWaiting(): void {
-		while (this.#grants.size < this.quota) {
+		const {quota} = this;
+		while (this.waiting > 0 && this.#grants.size + this.#leases.size < quota && this.#endpoints.hasFreeSlot) {
 			// Long work below its share goes first, so that it always gets the share that was declared for it.
 			const hasGranted = (this.#longInUse < this.#longLimit && this.#grantFrom(this.#long)) || this.#grantFrom(this.#short);
 			if (!hasGranted) {
-				return;
+				break;
 			}
 		}
+
+		if (this.waiting > 0) {
+			this.#leases.recall();
+		}
 	}
 
 	#grantFrom(queue: WorkQueue<AllocationTicket>): boolean {
-		const now = this.#options.clock();
 		let endpoint: Endpoint | undefined;
 		const ticket = queue.take(candidate => {
-			if (this.#suspects.has(candidate.request.fingerprint)) {
+			if (this.#quarantine.isRunning(candidate.request.fingerprint)) {
 				return false;
 			}
 
@@ -333,7 +369,7 @@
 				failureDomain: candidate.failureDomain,
 				expectedWait: this.computeExpectedWait(candidate),
 				workClass: candidate.workClass,
-				now,
+				now: this.#options.clock(),
 			});
 			return endpoint !== undefined;
 		});
@@ -341,46 +377,69 @@
 			return false;
 		}
 
-		this.#grant(ticket, endpoint, now);
+		this.#grant(ticket, endpoint);
 		return true;
 	}
 
-	#grant(ticket: AllocationTicket, endpoint: Endpoint, now: number): void {
+	#grant(ticket: AllocationTicket, endpoint: Endpoint): void {
 		const {fingerprint} = ticket.request;
 		if (this.#quarantine.has(fingerprint)) {
-			ticket.onSettled(err(createFailure('quarantined', {crashes: this.#quarantine.countCrashes(fingerprint)})));
+			ticket.onSettled(err(this.#createQuarantineFailure(fingerprint)));
 			return;
 		}
 
-		const grantId = `${this.#grantPrefix}-${this.#nextGrant++}`;
+		const grantId = this.#createGrantId();
+		this.#addGrant(grantId, ticket, endpoint);
+		const taken = endpoint.inUse + endpoint.leased;
+		checkInvariant(taken <= endpoint.slots, 'endpoint-slots', () => `endpoint ${endpoint.id} has ${taken} of ${endpoint.slots} slots in use`);
+		ticket.onSettled(ok({grantId, endpointId: endpoint.id, address: endpoint.address}));
+	}
+
+	#addGrant(grantId: string, ticket: AllocationTicket, endpoint: Endpoint): void {
+		const now = this.#options.clock();
 		endpoint.take(grantId, ticket.workClass, now);
 		this.#grants.set(grantId, {endpoint, ticket, grantedAt: now});
 		this.#longInUse += ticket.workClass.kind === WorkKind.long ? 1 : 0;
-		if (this.#quarantine.countCrashes(fingerprint) > 0) {
-			this.#suspects.add(fingerprint);
+		this.#quarantine.start(ticket.request.fingerprint);
+	}
+
+	#offerLease({endpoint, ticket: {hostId, workClass}}: Grant, {outcome}: SlotRelease): AllocatedSlot | undefined {
+		const isUseful = outcome === AttemptOutcome.success && workClass.kind === WorkKind.short
+			&& endpoint.state === EndpointState.healthy && endpoint.freeSlots > 0;
+		const isAllowed = isUseful && this.waiting === 0 && this.#leases.isAllowed({
+			hostId, quota: this.quota, inUse: this.#grants.size, hosts: this.#share.listed,
+		});
+		if (!isAllowed) {
+			return undefined;
 		}
 
-		checkInvariant(endpoint.inUse <= endpoint.slots, 'endpoint-slots', () => `endpoint ${endpoint.id} has ${endpoint.inUse} of ${endpoint.slots} slots in use`);
-		ticket.onSettled(ok({grantId, endpointId: endpoint.id, address: endpoint.address}));
+		const grantId = this.#createGrantId();
+		this.#leases.add(grantId, {endpoint, hostId});
+		return {grantId, endpointId: endpoint.id, address: endpoint.address};
 	}
 
-	#observe({ticket, grantedAt}: Grant, {outcome}: SlotRelease, now: number): void {
+	#createGrantId(): string {
+		return `${this.#grantPrefix}-${this.#nextGrant++}`;
+	}
+
+	#observe({endpoint, ticket, grantedAt}: Grant, {outcome, isDraining}: SlotRelease, now: number): void {
 		const {fingerprint} = ticket.request;
-		this.#suspects.delete(fingerprint);
+		this.#quarantine.end(fingerprint);
+		if (isDraining) {
+			this.#options.onDrain(endpoint.id);
+		}
+
 		if (outcome === AttemptOutcome.crashed) {
 			this.#quarantine.record(fingerprint);
+			this.#options.onCrash(fingerprint);
 			if (this.#quarantine.has(fingerprint)) {
-				logger.log(LogLevel.warn, 'request-quarantined', {service: this.#options.service.name, fingerprint});
+				logger.log(LogLevel.warn, 'request-quarantined', {service: this.#service.name, fingerprint});
 			}
 		}
 
-		if (outcome !== AttemptOutcome.success) {
-			return;
-		}
-
-		this.#quarantine.release(fingerprint);
-		if (ticket.workClass.kind === WorkKind.short) {
-			this.#shortHoldTime += holdTimeWeight * (now - grantedAt - this.#shortHoldTime);
+		if (outcome === AttemptOutcome.success) {
+			this.#quarantine.release(fingerprint);
+			this.#estimator.record(ticket.workClass, now - grantedAt);
 		}
 	}
 }
--- a/packages/routing/src/endpoint-pool.ts
+++ b/packages/routing/src/endpoint-pool.ts
@@ -34,26 +34,46 @@
 /** Defaults of {@link EndpointPoolOptions}. */
 export const defaultEndpointPoolOptions = {slowFactor: 3, slowSamples: 3, random: Math.random};
 
-const milliInSlowCheck = 10;
+/** Time between two comparisons of the endpoints' durations, in milliseconds. */
+const slowCheckMilliseconds = 10;
+
+/** Small against the share of one slot, so that free slots always decide first. */
+const nearBonus = 0.001;
+
+const trialStates: ReadonlySet<EndpointState> = new Set([EndpointState.failing, EndpointState.slow]);
 
 /** The endpoints of one service. */
 export class EndpointPool {
 	readonly #options: EndpointPoolOptions;
 	readonly #endpoints = new Map<string, Endpoint>();
+	#slotsPerEndpoint: number;
 	#isFirstList = true;
 	#slowCheckedAt = -Infinity;
 
 	constructor(options: Partial<EndpointPoolOptions> & Pick<EndpointPoolOptions, 'slotsPerEndpoint'>) {
 		this.#options = {...defaultEndpointPoolOptions, ...options};
+		this.#slotsPerEndpoint = options.slotsPerEndpoint;
 	}
 
 	/** Slots of all endpoints that take new work. */
 	get slots(): number {
-		return this.list().filter(({state}) => state !== EndpointState.draining).reduce((sum, {slots}) => sum + slots, 0);
+		let slots = 0;
+		for (const endpoint of this.#endpoints.values()) {
+			slots += endpoint.state === EndpointState.draining ? 0 : endpoint.slots;
+		}
+
+		return slots;
 	}
 
-	get inUse(): number {
-		return this.list().reduce((sum, {inUse}) => sum + inUse, 0);
+	/** Whether any endpoint has a free slot. */
+	get hasFreeSlot(): boolean {
+		for (const endpoint of this.#endpoints.values()) {
+			if (endpoint.freeSlots > 0) {
+				return true;
+			}
+		}
+
+		return false;
 	}
 
 	/**
@@ -97,7 +117,7 @@
 			const endpoint = known?.address === address
 				? known
 				: new Endpoint({
-					id, address, failureDomain, slots: this.#options.slotsPerEndpoint, isCold: !this.#isFirstList,
+					id, address, failureDomain, slots: this.#slotsPerEndpoint, isCold: !this.#isFirstList,
 				});
 			this.#endpoints.set(id, endpoint);
 			if (isLeaving) {
@@ -108,6 +128,18 @@
 		this.#isFirstList &&= listed.length === 0;
 	}
 
+	/**
+	 * Changes the slots of each endpoint.
+	 *
+	 * @param slotsPerEndpoint - The new number.
+	 */
+	updateSlots(slotsPerEndpoint: number): void {
+		this.#slotsPerEndpoint = slotsPerEndpoint;
+		for (const endpoint of this.#endpoints.values()) {
+			endpoint.setSlots(slotsPerEndpoint);
+		}
+	}
+
 	/**
 	 * Chooses the endpoint for a request.
 	 *
@@ -116,35 +148,48 @@
 	 */
 	choose(choice: EndpointChoice): Endpoint | undefined {
 		this.#updateSlow(choice.now);
-		const candidates = this.list().filter(endpoint => endpoint.freeSlots > 0 && !choice.excluded.includes(endpoint.id));
-		const trial = candidates.find(endpoint => hasTrialState(endpoint) && endpoint.isTrialDue(choice.now));
-		if (trial) {
-			return trial;
+		let best: Endpoint | undefined;
+		let slow: Endpoint | undefined;
+		let bestRank = -1;
+		for (const endpoint of this.#endpoints.values()) {
+			if (endpoint.freeSlots === 0 || choice.excluded.includes(endpoint.id)) {
+				continue;
+			}
+
+			const {state} = endpoint;
+			if (trialStates.has(state)) {
+				if (endpoint.isTrialDue(choice.now)) {
+					return endpoint;
+				}
+
+				slow = state === EndpointState.slow ? endpoint : slow;
+				continue;
+			}
+
+			const rank = this.#rank(endpoint, choice.failureDomain);
+			if (state !== EndpointState.draining && rank > bestRank) {
+				best = endpoint;
+				bestRank = rank;
+			}
 		}
 
-		const usual = candidates.filter(({state}) => state === EndpointState.healthy || state === EndpointState.cold);
-		if (usual.length > 0) {
-			return this.#pick(usual, choice);
+		if (best) {
+			return best;
 		}
 
 		// A slow endpoint is better than a longer wait.
-		return candidates.find(endpoint => endpoint.state === EndpointState.slow
-			&& (endpoint.computeSlowness(choice.now) ?? 0) * choice.workClass.usualMilliseconds < choice.expectedWait);
+		const duration = (slow?.computeSlowness(choice.now) ?? Infinity) * choice.workClass.usualMilliseconds;
+		return duration < choice.expectedWait ? slow : undefined;
 	}
 
-	#pick(endpoints: readonly Endpoint[], {failureDomain}: EndpointChoice): Endpoint | undefined {
-		const ranked = endpoints.map(endpoint => ({
-			endpoint,
-			free: endpoint.freeSlots / endpoint.slots,
-			isNear: endpoint.failureDomain === failureDomain ? 1 : 0,
-			tie: this.#options.random(),
-		}));
-		ranked.sort((left, right) => right.free - left.free || right.isNear - left.isNear || left.tie - right.tie);
-		return ranked[0]?.endpoint;
+	/** Ranks by free slots first, then the same failure domain, then at random. */
+	#rank(endpoint: Endpoint, failureDomain: string): number {
+		const nearness = endpoint.failureDomain === failureDomain ? nearBonus : 0;
+		return (endpoint.freeSlots / endpoint.slots) + nearness + (this.#options.random() * nearBonus);
 	}
 
 	#updateSlow(now: number): void {
-		if (now - this.#slowCheckedAt < milliInSlowCheck) {
+		if (now - this.#slowCheckedAt < slowCheckMilliseconds) {
 			return;
 		}
 
@@ -163,7 +208,3 @@
 		}
 	}
 }
-
-function hasTrialState({state}: Endpoint): boolean {
-	return state === EndpointState.failing || state === EndpointState.slow;
-}
--- a/packages/routing/src/endpoint.ts
+++ b/packages/routing/src/endpoint.ts
@@ -48,8 +48,10 @@
 export class Endpoint {
 	readonly #options: EndpointOptions;
 	readonly #attempts = new Map<string, Attempt>();
+	readonly #leases = new Set<string>();
 	#outcomes: boolean[] = [];
 	#durations: number[] = [];
+	#slots: number;
 	#openSlots: number;
 	#ejectedUntil = 0;
 	#ejection = 0;
@@ -61,7 +63,8 @@
 
 	constructor(options: Partial<EndpointOptions> & Pick<EndpointOptions, 'id' | 'address' | 'slots'>) {
 		this.#options = {...defaultEndpointOptions, ...options};
-		this.#openSlots = this.#options.isCold ? 1 : this.#options.slots;
+		this.#slots = this.#options.slots;
+		this.#openSlots = this.#options.isCold ? 1 : this.#slots;
 	}
 
 	get id(): string {
@@ -76,16 +79,22 @@
 		return this.#options.failureDomain;
 	}
 
+	/** Attempts in progress. */
 	get inUse(): number {
 		return this.#attempts.size;
 	}
 
+	/** Slots that hosts keep for their next request. */
+	get leased(): number {
+		return this.#leases.size;
+	}
+
 	get slots(): number {
-		return this.#options.slots;
+		return this.#slots;
 	}
 
 	get freeSlots(): number {
-		return Math.max(0, this.#openSlots - this.#attempts.size);
+		return Math.max(0, this.#openSlots - this.#attempts.size - this.#leases.size);
 	}
 
 	/** Why the endpoint is in its state, for operators. */
@@ -106,7 +115,7 @@
 			return EndpointState.slow;
 		}
 
-		return this.#openSlots < this.#options.slots ? EndpointState.cold : EndpointState.healthy;
+		return this.#openSlots < this.#slots ? EndpointState.cold : EndpointState.healthy;
 	}
 
 	/**
@@ -135,9 +144,28 @@
 			this.#lastTrialAt = now;
 		}
 
+		this.#leases.delete(grantId);
 		this.#attempts.set(grantId, {startedAt: now, workClass});
 	}
 
+	/**
+	 * Leaves a slot with a host that has no request for it yet.
+	 *
+	 * @param grantId - Id of the lease.
+	 */
+	addLease(grantId: string): void {
+		this.#leases.add(grantId);
+	}
+
+	/**
+	 * Takes a leased slot back.
+	 *
+	 * @param grantId - Id of the lease.
+	 */
+	removeLease(grantId: string): void {
+		this.#leases.delete(grantId);
+	}
+
 	/**
 	 * Gives a slot back and learns from how the attempt ended.
 	 *
@@ -157,7 +185,7 @@
 		}
 
 		if (release.outcome === AttemptOutcome.success) {
-			this.#openSlots = Math.min(this.#options.slots, this.#openSlots * 2);
+			this.#openSlots = Math.min(this.#slots, this.#openSlots * 2);
 			this.#durations = [...this.#durations, release.milliseconds / attempt.workClass.usualMilliseconds].slice(-this.#options.windowLength);
 		}
 
@@ -176,6 +204,16 @@
 		this.#reason = reason;
 	}
 
+	/**
+	 * Changes the number of slots.
+	 *
+	 * @param slots - The new number; attempts beyond it go on.
+	 */
+	setSlots(slots: number): void {
+		this.#openSlots = this.#openSlots === this.#slots ? slots : Math.min(this.#openSlots, slots);
+		this.#slots = slots;
+	}
+
 	/** Takes new work again after the host list shows the endpoint as live under a new start. */
 	resume(): void {
 		this.#isDraining = false;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,10 +1,13 @@
+export type * from './allocation.js';
 export * from './allocator-source.js';
 export * from './allocator.js';
 export * from './attempt-outcome.js';
 export * from './endpoint-pool.js';
 export * from './endpoint.js';
+export * from './lease-book.js';
 export * from './quarantine.js';
 export * from './retry-budget.js';
 export * from './slot-share.js';
 export type * from './slot-source.js';
+export * from './wait-estimator.js';
 export * from './work-queue.js';
--- a/packages/routing/src/quarantine.ts
+++ b/packages/routing/src/quarantine.ts
@@ -19,6 +19,7 @@
 export class Quarantine {
 	readonly #options: QuarantineOptions;
 	readonly #crashes = new Map<string, {crashes: number; until: number}>();
+	readonly #running = new Set<string>();
 
 	constructor(options: Partial<QuarantineOptions> & Pick<QuarantineOptions, 'clock'>) {
 		this.#options = {...defaultQuarantineOptions, ...options};
@@ -54,6 +55,36 @@
 		return this.countCrashes(fingerprint) >= this.#options.crashLimit;
 	}
 
+	/**
+	 * Tells whether a request that has crashed an endpoint runs now; it runs one at a time.
+	 *
+	 * @param fingerprint - Fingerprint of the request.
+	 * @returns Whether it must wait.
+	 */
+	isRunning(fingerprint: string): boolean {
+		return this.#running.has(fingerprint);
+	}
+
+	/**
+	 * Records that a request begins to run.
+	 *
+	 * @param fingerprint - Fingerprint of the request.
+	 */
+	start(fingerprint: string): void {
+		if (this.countCrashes(fingerprint) > 0) {
+			this.#running.add(fingerprint);
+		}
+	}
+
+	/**
+	 * Records that a request has ended, in whatever way.
+	 *
+	 * @param fingerprint - Fingerprint of the request.
+	 */
+	end(fingerprint: string): void {
+		this.#running.delete(fingerprint);
+	}
+
 	/**
 	 * Records a crash.
 	 *
--- a/packages/routing/src/slot-source.ts
+++ b/packages/routing/src/slot-source.ts
@@ -1,4 +1,5 @@
 import type {ResultAsync} from 'neverthrow';
+import type {WorkKind} from '@tanagerrail/configuration';
 import type {Failure} from '@tanagerrail/results';
 import type {AttemptOutcome} from './attempt-outcome.js';
 
@@ -6,6 +7,8 @@
 export type SlotRequest = {
 	readonly service: string;
 	readonly workClass: string;
+	/** Only short work may use leased slots, because long work is counted against its share first. */
+	readonly kind: WorkKind;
 	/** Time left until the deadline, in milliseconds. */
 	readonly remainingMilliseconds: number;
 	/** Hash of service, method, target and body. */
