feat(platform): reach the table service and the object store through adapters

Cause: claims and configuration need the platform, and only interfaces existed. Ruled out: listing by Scan reads the whole table for each list; the SDK's own search for credentials may start a process or call a metadata service; trusting status 500 or 503 as 'not written', since the protocol leaves the effect open there. Change: createDynamoTable and createS3Objects with one attempt for each call and a time limit, and stand-ins of both services as processes or in process with faults that can be changed while they run. Conclusion: only a refusal by the protocol or a connection that was never opened counts as not written.

--- /dev/null
+++ b/packages/platform/tests/dynamo-table.test.ts
@@ -0,0 +1,101 @@
+import type {ResultAsync} from 'neverthrow';
+import {test} from 'tap';
+import type {Failure} from '@tanagerrail/results';
+import {StandInTable, noPlatformFaults, type PlatformFaults} from '@tanagerrail/stand-ins';
+import {createDynamoTable} from '../src/dynamo-table.js';
+import type {TableCondition, TableWrite} from '../src/table-service.js';
+
+const createPut = (key: string, value: string, condition: TableCondition): TableWrite => ({kind: 'put', item: {key, attributes: {token: value}}, condition});
+const absent: TableCondition = {kind: 'absent'};
+const none: TableCondition = {kind: 'none'};
+
+const describe = async (result: ResultAsync<unknown, Failure>) => result.match(value => String(value && 'written'), ({id}) => id);
+
+async function waitFor(check: () => Promise<boolean>, milliseconds: number): Promise<boolean> {
+	const end = Date.now() + milliseconds;
+	for (;;) {
+		const holds = await check();
+		if (holds || Date.now() >= end) {
+			return holds;
+		}
+	}
+}
+
+test('each fault of a write is named, and only a write that may have taken effect is ambiguous', async t => {
+	const cases: Array<{name: string; faults: Partial<PlatformFaults>; id: string; isWritten: boolean}> = [
+		{
+			name: 'response lost after the effect', faults: {loseResponses: 1}, id: 'table-ambiguous', isWritten: true,
+		},
+		{
+			name: 'status 500 before the effect', faults: {failWrites: 1}, id: 'table-ambiguous', isWritten: false,
+		},
+		{
+			name: 'timeout', faults: {slowMilliseconds: 300}, id: 'table-ambiguous', isWritten: true,
+		},
+		{
+			name: 'status 503', faults: {down: 'unavailable'}, id: 'table-ambiguous', isWritten: false,
+		},
+		{
+			name: 'connection refused', faults: {down: 'refused'}, id: 'table-unavailable', isWritten: false,
+		},
+	];
+	const standIn = new StandInTable();
+	const {url} = await standIn.start();
+	t.teardown(() => {
+		standIn.stop();
+	});
+	for (const [index, {name, faults, id, isWritten}] of cases.entries()) {
+		// A new client has no idle connection, on which a refusal would look like a loss.
+		const table = createDynamoTable({url, timeoutMilliseconds: 200});
+		await standIn.update(faults);
+		t.equal(await describe(table.write(createPut(`case#${index}`, 'a', absent))), id, name);
+		await standIn.update(noPlatformFaults);
+		// The delayed write still arrives after its caller has given up.
+		const isFound = await waitFor(async () => await describe(table.get(`case#${index}`)) !== 'undefined', isWritten ? 2000 : 0);
+		t.equal(isFound, isWritten, `${name}: effect`);
+		table.close();
+	}
+});
+
+test('a write whose condition does not hold changes nothing, alone or in a transaction', async t => {
+	const standIn = new StandInTable({pageSize: 2});
+	const {url} = await standIn.start();
+	const table = createDynamoTable({url});
+	t.teardown(() => {
+		table.close();
+		standIn.stop();
+	});
+	const equals = (value: string): TableCondition => ({kind: 'equals', attribute: 'token', value});
+	const write = async (...writes: TableWrite[]) => {
+		const written = await (writes.length === 1 ? table.write(writes[0]!) : table.transact(writes));
+		return written.match(() => 'written', ({id, parameters}) => `${id} ${parameters.key}`);
+	};
+
+	t.equal(await write(createPut('k#1', 'a', absent)), 'written');
+	t.equal(await write(createPut('k#1', 'b', absent)), 'table-condition-failed k#1');
+	t.equal(await write(createPut('k#1', 'b', equals('x'))), 'table-condition-failed k#1');
+	t.equal(await write({kind: 'delete', key: 'k#1', condition: equals('x')}), 'table-condition-failed k#1');
+	t.equal(await write(createPut('k#2', 'c', absent), createPut('k#1', 'c', equals('x'))), 'table-condition-failed k#1');
+	t.equal(await describe(table.get('k#2')), 'undefined', 'no part of a refused transaction is written');
+	t.equal(await write(createPut('k#2', 'c', absent), createPut('k#1', 'c', equals('a'))), 'written');
+	await write({kind: 'put', item: {key: 'k#3', attributes: {}, expiresAtSeconds: 7}, condition: none});
+	const listed = await table.list('k#');
+	t.same(listed._unsafeUnwrap(), [
+		{key: 'k#1', attributes: {token: 'c'}}, {key: 'k#2', attributes: {token: 'c'}}, {key: 'k#3', attributes: {}, expiresAtSeconds: 7},
+	], 'all pages in key order');
+});
+
+test('a throttled call is not taken for an ambiguous one', async t => {
+	const standIn = new StandInTable({writesPerSecond: 1, readsPerSecond: 1});
+	const {url} = await standIn.start();
+	const table = createDynamoTable({url});
+	t.teardown(() => {
+		table.close();
+		standIn.stop();
+	});
+	t.equal(await describe(table.write(createPut('k#1', 'a', none))), 'undefined');
+	t.equal(await describe(table.write(createPut('k#1', 'b', none))), 'table-throttled');
+	t.equal(await describe(table.transact([createPut('k#1', 'b', none)])), 'table-throttled');
+	t.equal(await describe(table.get('k#1')), 'written');
+	t.equal(await describe(table.get('k#1')), 'table-throttled');
+});
--- /dev/null
+++ b/packages/stand-ins/src/platform-server.ts
@@ -0,0 +1,210 @@
+import {
+	createServer, type IncomingHttpHeaders, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {setTimeout as wait} from 'node:timers/promises';
+import {noPlatformFaults, platformFaultsSchema, type PlatformFaults} from './platform-faults.js';
+
+/** A request received in full. */
+export type PlatformRequest = {
+	readonly method: string;
+	readonly url: URL;
+	readonly headers: IncomingHttpHeaders;
+	readonly body: Uint8Array;
+};
+
+/** The response to a request. */
+export type PlatformResponse = {
+	readonly status: number;
+	readonly headers?: Readonly<Record<string, string>>;
+	readonly body?: string | Uint8Array;
+};
+
+/** The protocol of one platform service. */
+export type PlatformProtocol = {
+	isWrite(request: PlatformRequest): boolean;
+	/** Serves a request in one step, so that concurrent requests cannot interleave. */
+	serve(request: PlatformRequest): PlatformResponse;
+};
+
+/** URLs of a running stand-in. */
+export type PlatformUrls = {
+	readonly url: string;
+	/** Serves `/-/faults` also while connections to `url` are refused. */
+	readonly controlUrl: string;
+};
+
+/** Reads and writes that a stand-in answered with success. */
+export type PlatformCounts = {readonly reads: number; readonly writes: number};
+
+const host = '127.0.0.1';
+
+/**
+ * Serves a platform service with faults. `GET /-/faults` and `PUT /-/faults` show and change them, `GET /-/counts` shows
+ * the successful reads and writes.
+ */
+export class PlatformServer {
+	readonly #protocol: PlatformProtocol;
+	readonly #control: Server;
+	#server: Server;
+	#faults = noPlatformFaults;
+	readonly #counts = {reads: 0, writes: 0};
+	#port = 0;
+
+	constructor(protocol: PlatformProtocol) {
+		this.#protocol = protocol;
+		this.#server = this.#createServer();
+		this.#control = this.#createServer();
+	}
+
+	get counts(): PlatformCounts {
+		return {...this.#counts};
+	}
+
+	get faults(): PlatformFaults {
+		return this.#faults;
+	}
+
+	/**
+	 * Starts to listen.
+	 *
+	 * @param port - Port; 0 picks a free one.
+	 * @returns The URLs in use.
+	 */
+	async start(port = 0): Promise<PlatformUrls> {
+		this.#port = await openPort(this.#server, port);
+		const controlPort = await openPort(this.#control, 0);
+		return {url: `http://${host}:${this.#port}`, controlUrl: `http://${host}:${controlPort}`};
+	}
+
+	/**
+	 * Changes the faults.
+	 *
+	 * @param faults - The faults to change; the others stay.
+	 */
+	async update(faults: Partial<PlatformFaults>): Promise<void> {
+		const former = this.#faults.down;
+		this.#faults = {...this.#faults, ...faults};
+		if (this.#faults.down === former) {
+			return;
+		}
+
+		if (this.#faults.down === 'refused') {
+			closeServer(this.#server);
+		} else if (former === 'refused') {
+			this.#server = this.#createServer();
+			await openPort(this.#server, this.#port);
+		}
+	}
+
+	/** Stops at once and breaks all connections. */
+	stop(): void {
+		closeServer(this.#server);
+		closeServer(this.#control);
+	}
+
+	#createServer(): Server {
+		return createServer({keepAliveTimeout: 60_000}, (req, res) => {
+			void this.#handle(req, res);
+		});
+	}
+
+	async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		try {
+			const request = await receiveRequest(req);
+			if (request.url.pathname.startsWith('/-/')) {
+				sendResponse(res, await this.#serveControl(request));
+				return;
+			}
+
+			await this.#serve(request, res);
+		} catch {
+			// The client broke its connection before the request was complete.
+			res.destroy();
+		}
+	}
+
+	async #serve(request: PlatformRequest, res: ServerResponse): Promise<void> {
+		const {slowMilliseconds} = this.#faults;
+		if (slowMilliseconds > 0) {
+			await wait(slowMilliseconds);
+		}
+
+		if (this.#faults.down !== 'none') {
+			sendResponse(res, {status: 503});
+			return;
+		}
+
+		const isWrite = this.#protocol.isWrite(request);
+		if (isWrite && this.#faults.failWrites > 0) {
+			this.#faults = {...this.#faults, failWrites: this.#faults.failWrites - 1};
+			sendResponse(res, {status: 500});
+			return;
+		}
+
+		const response = this.#protocol.serve(request);
+		if (response.status < 300) {
+			this.#counts[isWrite ? 'writes' : 'reads'] += 1;
+		}
+
+		if (isWrite && response.status < 300 && this.#faults.loseResponses > 0) {
+			this.#faults = {...this.#faults, loseResponses: this.#faults.loseResponses - 1};
+			res.destroy();
+			return;
+		}
+
+		sendResponse(res, response);
+	}
+
+	async #serveControl({method, url, body}: PlatformRequest): Promise<PlatformResponse> {
+		if (method === 'PUT' && url.pathname === '/-/faults') {
+			const faults = parseFaults(body);
+			if (!faults) {
+				return {status: 400, body: 'The faults are malformed.\n'};
+			}
+
+			await this.update(faults);
+		}
+
+		const shown: Readonly<Record<string, unknown>> = {'/-/faults': this.#faults, '/-/counts': this.#counts};
+		return url.pathname in shown
+			? {status: 200, headers: {'content-type': 'application/json'}, body: JSON.stringify(shown[url.pathname])}
+			: {status: 404};
+	}
+}
+
+function parseFaults(body: Uint8Array): Partial<PlatformFaults> | undefined {
+	try {
+		return platformFaultsSchema.partial().parse(JSON.parse(Buffer.from(body).toString()));
+	} catch {
+		return undefined;
+	}
+}
+
+async function openPort(server: Server, port: number): Promise<number> {
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(port, host, resolve);
+	});
+	const address = server.address();
+	return typeof address === 'object' && address ? address.port : port;
+}
+
+function closeServer(server: Server): void {
+	server.close();
+	server.closeAllConnections();
+}
+
+async function receiveRequest(req: IncomingMessage): Promise<PlatformRequest> {
+	const chunks: Uint8Array[] = [];
+	for await (const chunk of req as AsyncIterable<Uint8Array>) {
+		chunks.push(chunk);
+	}
+
+	return {
+		method: req.method ?? 'GET', url: new URL(req.url ?? '/', `http://${host}`), headers: req.headers, body: Buffer.concat(chunks),
+	};
+}
+
+function sendResponse(res: ServerResponse, {status, headers = {}, body = ''}: PlatformResponse): void {
+	res.writeHead(status, {...headers, 'content-length': Buffer.byteLength(body)}).end(body);
+}
