feat(bench): start, freeze and stop entry processes on loopback

Experiments and scenarios need real entry processes with generated settings, endpoint stand-ins and a host list, and must not leave processes behind.

The testbed picks ports by listening on port 0, waits for readiness on the admin address and ends its children when the run exits, fails or gets a signal. Endpoints of one service share a process; one process each would cost ten times the memory without a different load. A frozen process ends by SIGKILL too, which SIGTERM would not do.

--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './testbed/index.js';
--- /dev/null
+++ b/packages/bench/src/testbed/endpoint-group.ts
@@ -0,0 +1,56 @@
+import path from 'node:path';
+import type {EndpointBehaviour} from '@tanagerrail/stand-ins';
+import {ManagedProcess} from './managed-process.js';
+
+/** Options of {@link EndpointGroup}. */
+export type EndpointGroupOptions = {
+	readonly service: string;
+	readonly count: number;
+	readonly behaviour: Partial<EndpointBehaviour>;
+	/** Directory of the log file. */
+	readonly directory: string;
+};
+
+/** One endpoint stand-in of a running group. */
+export type EndpointAddress = {
+	readonly id: string;
+	readonly service: string;
+	/** `ip:port`. */
+	readonly address: string;
+};
+
+/** The endpoint stand-ins of one service in a process of their own. */
+export class EndpointGroup {
+	/**
+	 * Starts the process and waits until all its endpoints listen.
+	 *
+	 * @param options - Service, number and behaviour.
+	 * @returns The group.
+	 */
+	static async start({service, count, behaviour, directory}: EndpointGroupOptions): Promise<EndpointGroup> {
+		const child = new ManagedProcess({
+			name: `endpoints-${service}`,
+			args: [path.join(import.meta.dirname, 'endpoint-process.js'), String(count), JSON.stringify(behaviour)],
+			logFile: path.join(directory, `endpoints-${service}.log`),
+		});
+		const ports = await readPorts(child);
+		return new EndpointGroup(child, ports.map((port, i) => ({id: `${service}-${i}`, service, address: `127.0.0.1:${port}`})));
+	}
+
+	private constructor(
+		readonly process: ManagedProcess,
+		readonly endpoints: readonly EndpointAddress[],
+	) {}
+}
+
+async function readPorts(child: ManagedProcess): Promise<number[]> {
+	let text = '';
+	for await (const chunk of child.output) {
+		text += chunk;
+		if (text.includes('\n')) {
+			return JSON.parse(text.slice(0, text.indexOf('\n'))) as number[];
+		}
+	}
+
+	throw new Error(`${child.name} ended before it listened; see ${child.logFile}`);
+}
--- /dev/null
+++ b/packages/bench/src/testbed/entry-process.ts
@@ -0,0 +1,96 @@
+import fs from 'node:fs';
+import path from 'node:path';
+import {request} from 'undici';
+import {stringify} from 'yaml';
+import {ManagedProcess} from './managed-process.js';
+import {waitUntil} from './wait-until.js';
+
+const mainScript = path.resolve(import.meta.dirname, '../../../../cli/dist/src/main.js');
+
+/** Key of peers and operators in every testbed. */
+export const testbedKey = 'testbed-key-0123456789';
+
+/** Options of {@link EntryProcess}. */
+export type EntryProcessOptions = {
+	readonly id: string;
+	readonly failureDomain: string;
+	readonly ports: {readonly callers: number; readonly peers: number; readonly admin: number};
+	readonly hostListUrl: string;
+	readonly configurationFile: string;
+	/** Directory of the settings and log files. */
+	readonly directory: string;
+	/** Sections of the settings file that replace the generated ones. */
+	readonly settings: Readonly<Record<string, unknown>>;
+};
+
+/** One `tanagerrail entry` process. */
+export class EntryProcess {
+	#process: ManagedProcess;
+
+	constructor(readonly options: EntryProcessOptions) {
+		this.#process = spawnEntry(options);
+	}
+
+	get id(): string {
+		return this.options.id;
+	}
+
+	get process(): ManagedProcess {
+		return this.#process;
+	}
+
+	/** `ip:port` for callers. */
+	get address(): string {
+		return `127.0.0.1:${this.options.ports.callers}`;
+	}
+
+	/** `ip:port` for peers. */
+	get peerAddress(): string {
+		return `127.0.0.1:${this.options.ports.peers}`;
+	}
+
+	/** `ip:port` for operators. */
+	get adminAddress(): string {
+		return `127.0.0.1:${this.options.ports.admin}`;
+	}
+
+	/** Starts the process again under the same id and addresses; nothing happens while it runs. */
+	restart(): void {
+		if (!this.#process.isRunning) {
+			this.#process = spawnEntry(this.options);
+		}
+	}
+
+	/** Waits until the process reports that it is ready. */
+	async waitReady(): Promise<void> {
+		await waitUntil(async () => this.#checkReady(), {name: `readiness of ${this.id} (log: ${this.#process.logFile})`});
+	}
+
+	async #checkReady(): Promise<boolean> {
+		const {statusCode, body} = await request(`http://${this.adminAddress}/-/ready`, {signal: AbortSignal.timeout(1000)});
+		await body.dump();
+		return statusCode === 200;
+	}
+}
+
+function spawnEntry(options: EntryProcessOptions): ManagedProcess {
+	const {id, directory} = options;
+	const settingsFile = path.join(directory, `${id}.yaml`);
+	fs.writeFileSync(settingsFile, stringify(buildSettings(options)));
+	return new ManagedProcess({
+		name: id, args: [mainScript, 'entry', '--settings', settingsFile], logFile: path.join(directory, `${id}.log`),
+	});
+}
+
+function buildSettings({id, failureDomain, ports, hostListUrl, configurationFile, settings}: EntryProcessOptions): Record<string, unknown> {
+	const {platform, ...others} = settings;
+	return {
+		host: {id, failureDomain},
+		listen: {callers: {port: ports.callers}, peers: {port: ports.peers}, admin: {port: ports.admin}},
+		keys: {peers: [testbedKey], admin: [testbedKey]},
+		platform: {hostList: {url: hostListUrl}, ...(platform as Record<string, unknown> | undefined)},
+		shutdown: {lameDuckMilliseconds: 100, shutdownMilliseconds: 10_000},
+		initialConfigurationFile: configurationFile,
+		...others,
+	};
+}
--- /dev/null
+++ b/packages/bench/src/testbed/testbed.ts
@@ -0,0 +1,189 @@
+import fs from 'node:fs';
+import os from 'node:os';
+import path from 'node:path';
+import {setTimeout as waitMilliseconds} from 'node:timers/promises';
+import type {Configuration, ServiceConfiguration} from '@tanagerrail/configuration';
+import {StandInHostList, type EndpointBehaviour, type TargetGroup} from '@tanagerrail/stand-ins';
+import {EndpointGroup, type EndpointAddress} from './endpoint-group.js';
+import {EntryProcess} from './entry-process.js';
+import {pickPorts} from './pick-ports.js';
+
+/** One service of a testbed. */
+export type TestbedService = {
+	readonly configuration: ServiceConfiguration;
+	/** Number of endpoint stand-ins. */
+	readonly endpoints: number;
+	readonly behaviour?: Partial<EndpointBehaviour>;
+};
+
+/** Options of {@link Testbed}. */
+export type TestbedOptions = {
+	/** Number of entry processes; 0 when only the endpoints are needed. */
+	readonly entries: number;
+	readonly services: readonly TestbedService[];
+	readonly failureDomains: number;
+	/** Lag of the host list in milliseconds. */
+	readonly listLagMilliseconds: number;
+	/** Fields of the configuration besides the services. */
+	readonly configuration: Partial<Configuration>;
+	/** Sections of each settings file that replace the generated ones; `platform` is merged. */
+	readonly settings: Readonly<Record<string, unknown>>;
+	/** Existing directory for settings and logs; by default a temporary one, removed at the end. */
+	readonly directory: string | undefined;
+};
+
+/** Defaults of {@link TestbedOptions}. */
+export const defaultTestbedOptions: Omit<TestbedOptions, 'services'> = {
+	entries: 3, failureDomains: 3, listLagMilliseconds: 0, configuration: {}, settings: {}, directory: undefined,
+};
+
+const defaultConfiguration: Omit<Configuration, 'services'> = {
+	revision: 1, measuring: {probesPerSecond: 10, bytesPerSecond: 10_000}, tableWritesPerSecond: 400,
+};
+
+/** Entry processes, endpoint stand-ins and a host list on the loopback address. */
+export class Testbed {
+	/**
+	 * Starts all processes and waits until each entry is ready.
+	 *
+	 * @param options - What to start.
+	 * @returns The running testbed; nothing is left behind when the start fails.
+	 */
+	static async start(options: Partial<TestbedOptions> & Pick<TestbedOptions, 'services'>): Promise<Testbed> {
+		const testbed = new Testbed({...defaultTestbedOptions, ...options});
+		try {
+			await testbed.#start();
+			return testbed;
+		} catch (error) {
+			await testbed.stop();
+			throw error;
+		}
+	}
+
+	readonly directory: string;
+	readonly hostList: StandInHostList;
+	readonly entries: EntryProcess[] = [];
+	readonly groups: EndpointGroup[] = [];
+	readonly #removed = new Set<string>();
+	#configurationFile = '';
+	#hostListUrl = '';
+
+	private constructor(readonly options: TestbedOptions) {
+		this.directory = options.directory ?? fs.mkdtempSync(path.join(os.tmpdir(), 'tanagerrail-testbed-'));
+		this.hostList = new StandInHostList({lagMilliseconds: options.listLagMilliseconds});
+	}
+
+	get endpoints(): EndpointAddress[] {
+		return this.groups.flatMap(({endpoints}) => endpoints);
+	}
+
+	/** The configuration that the entries start with. */
+	get configuration(): Configuration {
+		const {services, configuration} = this.options;
+		return {...defaultConfiguration, ...configuration, services: services.map(service => service.configuration)};
+	}
+
+	/**
+	 * Finds an entry by id.
+	 *
+	 * @param id - `entry-N`.
+	 * @returns The entry.
+	 * @throws Error when there is none.
+	 */
+	getEntry(id: string): EntryProcess {
+		const entry = this.entries.find(candidate => candidate.id === id);
+		if (!entry) {
+			throw new Error(`the testbed has no ${id}`);
+		}
+
+		return entry;
+	}
+
+	/**
+	 * Takes a host out of the list or puts it back.
+	 *
+	 * @param id - Id of an entry or endpoint.
+	 * @param isListed - Whether the list shows it.
+	 */
+	setListed(id: string, isListed: boolean): void {
+		this.#removed[isListed ? 'delete' : 'add'](id);
+		this.publishHosts();
+	}
+
+	/** Writes all hosts to the host list; they show after its lag. */
+	publishHosts(): void {
+		this.hostList.update(this.#buildRows().filter(({labels}) => !this.#removed.has(labels.id!)));
+	}
+
+	/** Stops everything at once and removes the temporary directory. */
+	async stop(): Promise<void> {
+		const processes = [...this.entries, ...this.groups].map(owner => owner.process);
+		for (const child of processes) {
+			child.kill();
+		}
+
+		await Promise.all(processes.map(async child => child.waitExit()));
+		this.hostList.stop();
+		if (this.options.directory === undefined) {
+			fs.rmSync(this.directory, {recursive: true, force: true});
+		}
+	}
+
+	async #start(): Promise<void> {
+		const {services, entries, listLagMilliseconds} = this.options;
+		this.#configurationFile = path.join(this.directory, 'configuration.json');
+		fs.writeFileSync(this.#configurationFile, JSON.stringify(this.configuration));
+		this.#hostListUrl = await this.hostList.start();
+		for (const {configuration, endpoints, behaviour = {}} of services) {
+			this.groups.push(await EndpointGroup.start({
+				service: configuration.name,
+				count: endpoints,
+				behaviour: {slots: configuration.slotsPerEndpoint, ...behaviour},
+				directory: this.directory,
+			}));
+		}
+
+		const ports = await pickPorts(entries * 3);
+		// The list must be complete before the first entry reads it, or allocators start with a part of the fleet.
+		this.hostList.update(this.#buildRows(ports));
+		await waitMilliseconds(listLagMilliseconds + 10);
+		for (let i = 0; i < entries; i++) {
+			this.entries.push(this.#createEntry(i, ports));
+		}
+
+		await Promise.all(this.entries.map(async entry => entry.waitReady()));
+	}
+
+	#createEntry(i: number, ports: readonly number[]): EntryProcess {
+		return new EntryProcess({
+			id: `entry-${i}`,
+			failureDomain: this.#getFailureDomain(i),
+			ports: {callers: ports[3 * i]!, peers: ports[(3 * i) + 1]!, admin: ports[(3 * i) + 2]!},
+			hostListUrl: this.#hostListUrl,
+			configurationFile: this.#configurationFile,
+			directory: this.directory,
+			settings: this.options.settings,
+		});
+	}
+
+	#getFailureDomain(i: number): string {
+		return `fd-${i % this.options.failureDomains}`;
+	}
+
+	#buildRows(ports = this.entries.flatMap(({options}) => [options.ports.callers, options.ports.peers, options.ports.admin])): TargetGroup[] {
+		const endpoints = this.endpoints.map(({id, address, service}, i): TargetGroup => ({
+			targets: [address],
+			labels: {
+				role: 'endpoint', id, service, state: 'live', failure_domain: this.#getFailureDomain(i),
+			},
+		}));
+		const entries = Array.from({length: ports.length / 3}, (_, i): TargetGroup => ({
+			targets: [`127.0.0.1:${ports[3 * i]}`],
+			labels: {
+				role: 'entry', id: `entry-${i}`, state: 'live', failure_domain: this.#getFailureDomain(i),
+				peer: `127.0.0.1:${ports[(3 * i) + 1]}`, admin: `127.0.0.1:${ports[(3 * i) + 2]}`,
+			},
+		}));
+		return [...endpoints, ...entries];
+	}
+}
