feat(stand-ins): give the endpoint the whole list of faults

Experiments need endpoints that misreport, start cold, stall, crash on a request, go silent on open connections and show afterwards what ran.

The endpoint is split by duty: behaviour and its schema, slots, work, content, load report, run log. Faults change by update() and by PUT /-/faults; GET /-/runs returns method, target, key, body hash and times. A crash takes the listener down and brings it back on the same port, because a process that serves a whole group cannot come back alone; crashesProcess ends the process instead. Content of a given length depends on the request only, so that a range can continue elsewhere.

--- /dev/null
+++ b/packages/stand-ins/src/endpoint-request.ts
@@ -0,0 +1,76 @@
+import {createHash} from 'node:crypto';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {readWallClock, type EndpointRun} from './endpoint-run-log.js';
+
+/** Request header with the duration of the work in milliseconds. */
+export const durationHeader = 'stand-in-milliseconds';
+
+/** Request header with the length of the response body in bytes. */
+export const lengthHeader = 'stand-in-bytes';
+
+/** Request header with the time over which the response body is spread, in milliseconds. */
+export const bodyDurationHeader = 'stand-in-body-milliseconds';
+
+/** A request that an endpoint has received in full. */
+export type EndpointRequest = {
+	readonly req: IncomingMessage;
+	readonly res: ServerResponse;
+	readonly run: EndpointRun;
+	readonly body: Uint8Array;
+};
+
+/** Reasons for which work stops. */
+export const StopReason = {cancelled: 'cancelled', expired: 'expired'} as const;
+
+/**
+ * Reads a request.
+ *
+ * @param req - The request.
+ * @param res - Its response.
+ * @returns The request with its body and the record for the log.
+ */
+export async function receiveRequest(req: IncomingMessage, res: ServerResponse): Promise<EndpointRequest> {
+	const receivedAt = readWallClock();
+	const chunks: Uint8Array[] = [];
+	for await (const chunk of req as AsyncIterable<Uint8Array>) {
+		chunks.push(chunk);
+	}
+
+	const body = Buffer.concat(chunks);
+	const key = req.headers['idempotency-key'];
+	const timeout = req.headers['request-timeout'];
+	const run: EndpointRun = {
+		method: req.method ?? '',
+		target: req.url ?? '',
+		key: typeof key === 'string' ? key : undefined,
+		bodyHash: createHash('sha256').update(body).digest('hex'),
+		timeout: timeout === undefined ? undefined : Number(timeout),
+		receivedAt,
+	};
+	return {
+		req, res, run, body,
+	};
+}
+
+/**
+ * Creates the signal that stops the work of a request.
+ *
+ * @param request - The request.
+ * @param options - Which reasons count.
+ * @returns A signal whose reason is a member of {@link StopReason}.
+ */
+export function createStopSignal({res, run}: EndpointRequest, {keepsDeadlines, stopsCancelled}: {keepsDeadlines: boolean; stopsCancelled: boolean}): AbortSignal {
+	const controller = new AbortController();
+	const timer = keepsDeadlines && run.timeout !== undefined
+		? setTimeout(() => {
+			controller.abort(StopReason.expired);
+		}, run.timeout)
+		: undefined;
+	res.once('close', () => {
+		clearTimeout(timer);
+		if (!res.writableFinished && stopsCancelled) {
+			controller.abort(StopReason.cancelled);
+		}
+	});
+	return controller.signal;
+}
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,2 +1,5 @@
+export * from './endpoint-behaviour.js';
+export {bodyDurationHeader, durationHeader, lengthHeader} from './endpoint-request.js';
+export {RunEnd, type EndpointRun} from './endpoint-run-log.js';
 export * from './stand-in-endpoint.js';
 export * from './stand-in-host-list.js';
--- a/packages/stand-ins/src/stand-in-endpoint.ts
+++ b/packages/stand-ins/src/stand-in-endpoint.ts
@@ -2,47 +2,67 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
+import type {Socket} from 'node:net';
+import process from 'node:process';
+import {setTimeout as waitMilliseconds} from 'node:timers/promises';
+import {
+	defaultEndpointBehaviour, endpointFaultsSchema, type EndpointBehaviour, type EndpointFaults,
+} from './endpoint-behaviour.js';
+import {buildContent, type EndpointContent} from './endpoint-content.js';
+import {EndpointLoadReport} from './endpoint-load-report.js';
+import {
+	bodyDurationHeader, createStopSignal, durationHeader, lengthHeader, receiveRequest, StopReason, type EndpointRequest,
+} from './endpoint-request.js';
+import {
+	EndpointRunLog, readWallClock, RunEnd, type EndpointRun,
+} from './endpoint-run-log.js';
+import {EndpointSlots} from './endpoint-slots.js';
+import {EndpointWork} from './endpoint-work.js';
 
-/** Faults and properties of a stand-in endpoint; they can be changed while it runs. */
-export type EndpointBehaviour = {
-	/** Requests run at the same time; others wait inside the endpoint. */
-	readonly slots: number;
-	/** Factor on the duration of each request. */
-	readonly slowness: number;
-	/** Answer 500 at once. */
-	readonly isFailing: boolean;
-	/** Announce leaving in each response. */
-	readonly isDraining: boolean;
-	/** Waiting requests above which new ones are refused as not run; infinite when nothing is shed. */
-	readonly shedAbove: number;
-	/** Number that the load report gives instead of the true one. */
-	readonly reportedInFlight: number | undefined;
-};
-
-/** Defaults of {@link EndpointBehaviour}. */
-export const defaultEndpointBehaviour: EndpointBehaviour = {
-	slots: 3, slowness: 1, isFailing: false, isDraining: false, shedAbove: Infinity, reportedInFlight: undefined,
-};
-
-/** Request header with the duration of the work in milliseconds. */
-export const durationHeader = 'stand-in-milliseconds';
-
-/** Request header with the length of the response body in bytes. */
-export const lengthHeader = 'stand-in-bytes';
+const bodyPieces = 10;
 
 /** A small server that behaves like an endpoint: slots, a load report, and faults on demand. */
 export class StandInEndpoint {
-	readonly #server: Server;
-	readonly #waiting: Array<() => void> = [];
+	readonly #log = new EndpointRunLog();
+	readonly #report = new EndpointLoadReport();
+	readonly #work = new EndpointWork();
+	readonly #slots: EndpointSlots;
+	readonly #sockets = new Set<Socket>();
+	readonly #silent = new WeakSet<Socket>();
+	readonly #adminHandlers: Readonly<Record<string, (request: EndpointRequest) => void>> = {
+		'GET /-/load': ({res}) => {
+			this.#describeState(res);
+			res.end('{}');
+		},
+		'GET /-/runs': ({res}) => {
+			res.writeHead(200, {'content-type': 'application/json'}).end(JSON.stringify(this.#log.runs));
+		},
+		'DELETE /-/runs': ({res}) => {
+			this.#log.reset();
+			res.writeHead(204).end();
+		},
+		'PUT /-/faults': ({res, body}) => {
+			const faults = endpointFaultsSchema.safeParse(JSON.parse(Buffer.from(body).toString()));
+			if (faults.success) {
+				this.update(faults.data);
+			}
+
+			res.writeHead(faults.success ? 204 : 400).end(faults.error?.message);
+		},
+	};
+
+	#server: Server;
 	#behaviour: EndpointBehaviour;
-	#inUse = 0;
+	#slownessTimer: NodeJS.Timeout | undefined;
+	#port = 0;
+	#listeningSince = 0;
+	#isStopped = false;
 	#started = 0;
 
 	constructor(behaviour: Partial<EndpointBehaviour> = {}) {
 		this.#behaviour = {...defaultEndpointBehaviour, ...behaviour};
-		this.#server = createServer({keepAliveTimeout: 60_000}, (req, res) => {
-			void this.#handle(req, res);
-		});
+		this.#slots = new EndpointSlots(this.#behaviour.slots);
+		this.#server = this.#createServer();
 	}
 
 	/** Requests that began to run. */
@@ -50,6 +70,11 @@
 		return this.#started;
 	}
 
+	/** The latest requests, in order of arrival. */
+	get runs(): readonly EndpointRun[] {
+		return this.#log.runs;
+	}
+
 	/**
 	 * Starts to listen.
 	 *
@@ -61,90 +86,205 @@
 			this.#server.listen(port, '127.0.0.1', resolve);
 		});
 		const address = this.#server.address();
-		return typeof address === 'object' && address ? address.port : port;
+		this.#port = typeof address === 'object' && address ? address.port : port;
+		this.#listeningSince = performance.now();
+		return this.#port;
 	}
 
 	/**
-	 * Changes the behaviour.
+	 * Changes the behaviour and causes faults.
 	 *
-	 * @param behaviour - The properties to change.
+	 * @param faults - The properties to change, and faults that happen once.
 	 */
-	update(behaviour: Partial<EndpointBehaviour>): void {
-		this.#behaviour = {...this.#behaviour, ...behaviour};
+	update({silenceShare, stallMilliseconds, ...behaviour}: EndpointFaults): void {
+		const changes = Object.fromEntries(Object.entries(behaviour).filter(([, value]) => value !== undefined));
+		this.#behaviour = {...this.#behaviour, ...changes};
+		this.#slots.update(this.#behaviour.slots);
+		this.#work.pause(stallMilliseconds ?? 0);
+		this.#silence(silenceShare ?? 0);
+		if (behaviour.slowness !== undefined) {
+			this.#scheduleSlownessEnd();
+		}
 	}
 
 	/** Stops at once and breaks all connections. */
 	stop(): void {
+		this.#isStopped = true;
+		clearTimeout(this.#slownessTimer);
 		this.#server.close();
 		this.#server.closeAllConnections();
 	}
 
+	#createServer(): Server {
+		const server = createServer({keepAliveTimeout: 60_000}, (req, res) => {
+			void this.#handle(req, res);
+		});
+		server.on('connection', socket => {
+			this.#sockets.add(socket);
+			socket.once('close', () => {
+				this.#sockets.delete(socket);
+			});
+		});
+		return server;
+	}
+
 	async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
-		const {slots, slowness, isFailing, isDraining, shedAbove} = this.#behaviour;
-		const chunks: Uint8Array[] = [];
-		for await (const chunk of req as AsyncIterable<Uint8Array>) {
-			chunks.push(chunk);
+		// A silent connection stays open, but nothing is read from it or written to it any more.
+		if (this.#silent.has(req.socket)) {
+			return;
 		}
 
-		res.setHeader('endpoint-load-metrics', this.#describeLoad());
-		if (isDraining) {
-			res.setHeader('endpoint-state', 'draining');
+		try {
+			const request = await receiveRequest(req, res);
+			const handleAdmin = this.#adminHandlers[`${req.method} ${req.url}`];
+			if (handleAdmin) {
+				handleAdmin(request);
+				return;
+			}
+
+			this.#log.add(request.run);
+			await this.#serve(request);
+		} catch (error) {
+			// A caller that is gone is part of the tests; anything else is a fault of the stand-in.
+			if (!res.destroyed) {
+				res.writeHead(500).end(String(error));
+			}
 		}
+	}
 
-		if (req.url === '/-/load') {
-			res.end('{}');
+	async #serve(request: EndpointRequest): Promise<void> {
+		const {run} = request;
+		const {isFailing, shedAbove, crashTarget} = this.#behaviour;
+		if (isFailing) {
+			this.#finish(request, {status: 500, end: RunEnd.failed});
 			return;
 		}
 
-		if (isFailing) {
-			res.writeHead(500).end();
+		if (this.#slots.inUse >= this.#behaviour.slots && this.#slots.waiting >= (shedAbove ?? Infinity)) {
+			this.#finish(request, {status: 503, end: RunEnd.refused});
 			return;
 		}
 
-		if (this.#inUse >= slots && this.#waiting.length >= shedAbove) {
-			res.writeHead(503, {'tanagerrail-outcome': 'not-run'}).end();
+		const signal = createStopSignal(request, this.#behaviour);
+		if (!await this.#slots.take(signal)) {
+			this.#finish(request, {status: 503, end: RunEnd.refused});
 			return;
 		}
 
-		await this.#take();
 		this.#started += 1;
-		const duration = Number(req.headers[durationHeader] ?? 0) * slowness;
-		await new Promise<void>(resolve => {
-			setTimeout(resolve, duration);
-		});
-		this.#release();
-		const body = Buffer.alloc(Number(req.headers[lengthHeader] ?? 2), 'ok');
-		res.writeHead(200, {
-			'content-length': body.length,
-			'request-hash': createHash('sha256').update(`${req.method} ${req.url}`).update(Buffer.concat(chunks)).digest('hex'),
+		run.startedAt = readWallClock();
+		try {
+			if (run.target === crashTarget) {
+				this.#crash(run);
+				return;
+			}
+
+			await this.#work.run(this.#computeDuration(request), signal);
+			await this.#respond(request);
+		} catch {
+			const isExpired = signal.reason === StopReason.expired;
+			this.#finish(request, {status: 504, end: isExpired ? RunEnd.expired : RunEnd.cancelled});
+		} finally {
+			run.endedAt ??= readWallClock();
+			this.#slots.release();
+		}
+	}
+
+	async #respond(request: EndpointRequest): Promise<void> {
+		const {req, run, body} = request;
+		const length = req.headers[lengthHeader];
+		const content = buildContent({
+			method: run.method,
+			target: run.target,
+			headers: req.headers,
+			requestHash: createHash('sha256').update(`${run.method} ${run.target}`).update(body).digest('hex'),
+			length: length === undefined ? undefined : Number(length),
 		});
-		res.end(body);
+		await this.#writeContent(request, content);
+		run.end ??= RunEnd.answered;
 	}
 
-	async #take(): Promise<void> {
-		if (this.#inUse >= this.#behaviour.slots) {
-			await new Promise<void>(resolve => {
-				this.#waiting.push(resolve);
-			});
+	async #writeContent({req, res}: EndpointRequest, {status, headers, body}: EndpointContent): Promise<void> {
+		if (this.#silent.has(req.socket)) {
+			return;
+		}
+
+		this.#describeState(res);
+		res.writeHead(status, headers);
+		const limit = this.#behaviour.cutAfterBytes ?? Infinity;
+		const duration = Number(req.headers[bodyDurationHeader] ?? 0);
+		const pieceLength = duration > 0 ? Math.max(1, Math.ceil(body.length / bodyPieces)) : body.length;
+		for (let start = pieceLength; start < body.length && start <= limit; start += pieceLength) {
+			res.write(body.subarray(start - pieceLength, start));
+			await waitMilliseconds(duration / bodyPieces);
+		}
+
+		if (body.length > limit) {
+			res.destroy();
 			return;
 		}
 
-		this.#inUse += 1;
+		res.end(body.length === 0 ? undefined : body.subarray((Math.ceil(body.length / pieceLength) - 1) * pieceLength));
 	}
 
-	#release(): void {
-		const next = this.#waiting.shift();
-		if (next) {
-			next();
+	#finish({req, res, run}: EndpointRequest, {status, end}: {status: number; end: RunEnd}): void {
+		run.end ??= end;
+		run.endedAt ??= readWallClock();
+		if (res.destroyed || res.headersSent || this.#silent.has(req.socket)) {
 			return;
 		}
 
-		this.#inUse -= 1;
+		this.#describeState(res);
+		res.writeHead(status, end === RunEnd.refused ? {'tanagerrail-outcome': 'not-run'} : {}).end();
 	}
 
-	/** Load in the text form of ORCA (Open Request Cost Aggregation). */
-	#describeLoad(): string {
-		const inFlight = this.#behaviour.reportedInFlight ?? (this.#inUse + this.#waiting.length);
-		return `TEXT named_metrics.in_flight=${inFlight},named_metrics.slots=${this.#behaviour.slots}`;
+	#computeDuration({req}: EndpointRequest): number {
+		const {slowness, coldMilliseconds, coldSlowness} = this.#behaviour;
+		const isCold = performance.now() - this.#listeningSince < coldMilliseconds;
+		return Number(req.headers[durationHeader] ?? 0) * slowness * (isCold ? coldSlowness : 1);
+	}
+
+	/** Adds the load report and the draining notice. */
+	#describeState(res: ServerResponse): void {
+		const {slots, reportedInFlight, reportLagMilliseconds, isDraining} = this.#behaviour;
+		const inFlight = reportedInFlight ?? (this.#slots.inUse + this.#slots.waiting);
+		res.setHeader('endpoint-load-metrics', this.#report.describe({inFlight, slots}, reportLagMilliseconds));
+		if (isDraining) {
+			res.setHeader('endpoint-state', 'draining');
+		}
+	}
+
+	#crash(run: EndpointRun): void {
+		run.end = RunEnd.crashed;
+		const {crashesProcess, restartMilliseconds} = this.#behaviour;
+		if (crashesProcess) {
+			process.kill(process.pid, 'SIGKILL');
+		}
+
+		this.#server.close();
+		this.#server.closeAllConnections();
+		setTimeout(() => {
+			if (!this.#isStopped) {
+				this.#server = this.#createServer();
+				void this.start(this.#port);
+			}
+		}, restartMilliseconds);
+	}
+
+	#silence(share: number): void {
+		const open = [...this.#sockets].filter(socket => !this.#silent.has(socket));
+		for (const socket of open.slice(0, Math.round(share * open.length))) {
+			this.#silent.add(socket);
+		}
+	}
+
+	#scheduleSlownessEnd(): void {
+		const {slowMilliseconds} = this.#behaviour;
+		clearTimeout(this.#slownessTimer);
+		if (typeof slowMilliseconds === 'number') {
+			this.#slownessTimer = setTimeout(() => {
+				this.#behaviour = {...this.#behaviour, slowness: 1, slowMilliseconds: undefined};
+			}, slowMilliseconds);
+		}
 	}
 }
