feat(claims): run keyed requests at most once over the table service

Cause: every request with an Idempotency-Key was refused, because no claim service existed. Ruled out: taking a claim over after a lease, since its holder may be paused and resume; trusting one read after a lost response, since the write may take effect after the read. Change: TableClaims claims by a conditional put, settles a lost response by reading back and writing again with the same token, replays stored outcomes, repeats outcome writes and removals in the background, and keeps to the host's write share. Conclusion: a claim without an outcome stays, so the worst case is an unknown outcome.

--- a/packages/claims/src/claim-service.ts
+++ b/packages/claims/src/claim-service.ts
@@ -37,6 +37,19 @@
 	 * @returns The claim or the stored outcome; or `key-reused`, `outcome-unknown`, `store-unavailable`, `store-busy`.
 	 */
 	claim(key: ClaimKey, remainingMilliseconds: number): ResultAsync<ClaimResult, Failure>;
+	/**
+	 * Records that the request of a claim is about to be sent to an endpoint.
+	 *
+	 * @param claim - The claim of this host, as {@link ClaimService.claim} returned it.
+	 * @returns Whether it may be sent; not if it was sent before and may have run, or if the claim is removed.
+	 */
+	recordDispatch(claim: Claim): boolean;
+	/**
+	 * Records that the last dispatch of a claim certainly did not run, so that another one may follow.
+	 *
+	 * @param claim - The claim of this host.
+	 */
+	recordNotRun(claim: Claim): void;
 	/**
 	 * Stores the outcome. A write that fails is repeated in the background, so this never fails for the caller.
 	 *
--- /dev/null
+++ b/packages/claims/tests/table-claims.test.ts
@@ -0,0 +1,214 @@
+import {setTimeout as wait} from 'node:timers/promises';
+import {test} from 'tap';
+import {createDynamoTable, createS3Objects} from '@tanagerrail/platform';
+import {
+	noPlatformFaults, StandInObjectStore, StandInTable, type PlatformFaults,
+} from '@tanagerrail/stand-ins';
+import {listViolations} from '@tanagerrail/telemetry';
+import type {Claim, ClaimKey, StoredOutcome} from '../src/claim-service.js';
+import {TableClaims} from '../src/table-claims.js';
+import {FakeObjects, FakeTable} from './fake-table.js';
+
+const key: ClaimKey = {
+	service: 'payments', key: 'k1', fingerprint: 'f', outcomeDays: 30,
+};
+const outcome: StoredOutcome = {status: 201, headers: {location: '/grants/1', 'set-cookie': ['a', 'b']}, body: Buffer.from('paid')};
+const largeOutcome: StoredOutcome = {...outcome, body: Buffer.alloc(100_000, 'pdf')};
+
+/** A platform with two entry hosts. */
+class Fixture {
+	readonly table = new StandInTable();
+	readonly objects = new StandInObjectStore();
+	readonly hosts: TableClaims[] = [];
+	readonly #closers: Array<() => void> = [];
+
+	async start(writeRate = 100): Promise<this> {
+		const [{url}, {url: objectsUrl}] = await Promise.all([this.table.start(), this.objects.start()]);
+		for (const host of ['a', 'b']) {
+			const table = createDynamoTable({url, timeoutMilliseconds: 150});
+			const objects = createS3Objects({url: objectsUrl, timeoutMilliseconds: 150});
+			this.hosts.push(new TableClaims({
+				table, objects, host, incarnation: host, getWriteRate: () => writeRate, settleMilliseconds: 300, lateWriteMilliseconds: 500,
+			}));
+			this.#closers.push(() => {
+				table.close();
+				objects.close();
+			});
+		}
+
+		return this;
+	}
+
+	stop(): void {
+		for (const close of this.#closers) {
+			close();
+		}
+
+		this.table.stop();
+		this.objects.stop();
+	}
+
+	async update(faults: Partial<PlatformFaults>): Promise<void> {
+		await Promise.all([this.table.update(faults), this.objects.update(faults)]);
+	}
+
+	/** Claims a request; resolves to what came of it in one word. */
+	async claim(host: number, changes: Partial<ClaimKey> = {}, remaining = 500): Promise<string> {
+		const claimed = await this.hosts[host]!.claim({...key, ...changes}, remaining);
+		return claimed.match(
+			value => value.kind === 'claimed' ? 'claimed' : `${value.outcome.status} ${value.outcome.body.length} ${JSON.stringify(value.outcome.headers)}`,
+			({id}) => id,
+		);
+	}
+
+	async take(host: number): Promise<Claim> {
+		const claimed = await this.hosts[host]!.claim(key, 1000);
+		const value = claimed._unsafeUnwrap();
+		if (value.kind !== 'claimed') {
+			throw new Error('The key is already done.');
+		}
+
+		this.hosts[host]!.recordDispatch(value.claim);
+		return value.claim;
+	}
+
+	async drain(): Promise<void> {
+		await Promise.all(this.hosts.map(async host => host.drain(AbortSignal.timeout(5000))));
+	}
+}
+
+const replayed = `201 4 ${JSON.stringify(outcome.headers)}`;
+const replayedLarge = `201 100000 ${JSON.stringify(outcome.headers)}`;
+
+test('a claim is made or refused as not run under each fault of its own write, and never blocks the key for good', async t => {
+	const cases: Array<{name: string; faults: Partial<PlatformFaults>; first: string}> = [
+		{name: 'no fault', faults: {}, first: 'claimed'},
+		{name: 'response lost after the effect', faults: {loseResponses: 1}, first: 'claimed'},
+		{name: 'failed before the effect', faults: {failWrites: 1}, first: 'claimed'},
+		{name: 'connection refused', faults: {down: 'refused'}, first: 'store-unavailable'},
+		{name: 'unavailable', faults: {down: 'unavailable'}, first: 'store-unavailable'},
+		{name: 'too slow', faults: {slowMilliseconds: 200}, first: 'store-unavailable'},
+	];
+	for (const {name, faults, first} of cases) {
+		const fixture = await new Fixture().start();
+		await fixture.update(faults);
+		t.equal(await fixture.claim(0), first, name);
+		await fixture.update(noPlatformFaults);
+		if (first !== 'claimed') {
+			await fixture.drain();
+			t.equal(await fixture.claim(1), 'claimed', `${name}: the key is free again`);
+		}
+
+		t.equal(await fixture.claim(1), 'outcome-unknown', `${name}: nobody else runs it`);
+		fixture.stop();
+	}
+});
+
+test('an outcome is replayed from any host although its write was lost, refused or delayed', async t => {
+	const cases: Array<{name: string; faults: Partial<PlatformFaults>; body: StoredOutcome; during: string; after: string}> = [
+		{
+			name: 'no fault', faults: {}, body: outcome, during: replayed, after: replayed,
+		},
+		{
+			name: 'response lost', faults: {loseResponses: 1}, body: outcome, during: replayed, after: replayed,
+		},
+		{
+			name: 'failed once', faults: {failWrites: 1}, body: outcome, during: replayed, after: replayed,
+		},
+		{
+			name: 'table down', faults: {down: 'refused'}, body: outcome, during: 'store-unavailable', after: replayed,
+		},
+		{
+			name: 'large body', faults: {}, body: largeOutcome, during: replayedLarge, after: replayedLarge,
+		},
+	];
+	for (const {name, faults, body, during, after} of cases) {
+		const fixture = await new Fixture().start();
+		const claim = await fixture.take(0);
+		await fixture.update(faults);
+		const startedAt = performance.now();
+		await fixture.hosts[0]!.finish(claim, body);
+		t.ok(performance.now() - startedAt < 400, `${name}: the caller does not wait for the store`);
+		t.equal(await fixture.claim(1), during, `${name}: a resend`);
+		await fixture.update(noPlatformFaults);
+		await fixture.drain();
+		t.equal(await fixture.claim(1), after, `${name}: a resend later`);
+		t.equal(await fixture.claim(1, {fingerprint: 'other'}), 'key-reused', `${name}: another body`);
+		fixture.stop();
+	}
+});
+
+test('a large outcome that the object store refuses is unknown to a resend until it is stored', async t => {
+	const fixture = await new Fixture().start();
+	t.teardown(() => {
+		fixture.stop();
+	});
+	const claim = await fixture.take(0);
+	await fixture.objects.update({down: 'refused'});
+	await fixture.hosts[0]!.finish(claim, largeOutcome);
+	t.equal(await fixture.claim(1), 'outcome-unknown');
+	await fixture.objects.update(noPlatformFaults);
+	await fixture.drain();
+	t.equal(await fixture.claim(1), replayedLarge);
+	await fixture.objects.update({down: 'refused'});
+	t.equal(await fixture.claim(1), 'outcome-unknown', 'the stored body cannot be read');
+});
+
+test('of two hosts that race for a key one runs it, the other waits for its outcome or claims what did not run', async t => {
+	const fixture = await new Fixture().start();
+	t.teardown(() => {
+		fixture.stop();
+	});
+	const race = await Promise.all([fixture.claim(0, {key: 'k2'}, 200), fixture.claim(1, {key: 'k2'}, 200)]);
+	t.same(race.sort(), ['claimed', 'outcome-unknown']);
+	const claim = await fixture.take(0);
+	const waiting = fixture.claim(1, {}, 3000);
+	await wait(50);
+	fixture.hosts[0]!.recordNotRun(claim);
+	await fixture.hosts[0]!.remove(claim);
+	t.equal(await waiting, 'claimed', 'the former claim was removed');
+	t.notOk(fixture.hosts[0]!.recordDispatch(claim), 'a removed claim is not dispatched');
+	t.same(listViolations(), {'claim-dispatched-once': 1}, 'the invariant sees it');
+});
+
+test('writes stay within the budget of the host and cost two for each request', async t => {
+	const fixture = await new Fixture().start(4);
+	t.teardown(() => {
+		fixture.stop();
+	});
+	const claim = await fixture.take(0);
+	await fixture.hosts[0]!.finish(claim, outcome);
+	t.same(fixture.table.counts, {reads: 0, writes: 2});
+	t.equal(await fixture.claim(0, {key: 'k2'}), 'claimed');
+	t.equal(await fixture.claim(0, {key: 'k3'}), 'store-busy');
+	t.equal(fixture.table.counts.writes, 3, 'nothing was sent');
+});
+
+test('a refusal by the rate limit of the table is not run, and the claim is not left behind', async t => {
+	const table = new FakeTable(async () => undefined);
+	table.fates.push('throttled');
+	const claims = new TableClaims({
+		table, objects: new FakeObjects(), host: 'a', incarnation: 'a', getWriteRate: () => 100,
+	});
+	const claimed = await claims.claim(key, 100);
+	t.equal(claimed.isErr() && claimed.error.id, 'store-busy');
+	t.equal(table.items.size, 0);
+});
+
+test('a removal that takes effect late does not remove the claim of another host', async t => {
+	const table = new FakeTable(async () => wait(1));
+	const [a, b] = ['a', 'b'].map(host => new TableClaims({
+		table, objects: new FakeObjects(), host, incarnation: host, getWriteRate: () => 100, firstRepeatMilliseconds: 0,
+	})) as [TableClaims, TableClaims];
+	const first = await a.claim(key, 1000);
+	table.fates.push('late');
+	const removal = first._unsafeUnwrap();
+	if (removal.kind === 'claimed') {
+		await a.remove(removal.claim);
+	}
+
+	const second = await b.claim(key, 1000);
+	t.equal(second.isOk() && second.value.kind, 'claimed');
+	await wait(50);
+	t.equal(table.items.size, 1, 'the claim of the second host is still there');
+});
--- a/packages/cli/src/entry-host.ts
+++ b/packages/cli/src/entry-host.ts
@@ -212,6 +212,8 @@
 function createUnavailableClaims(): ClaimService {
 	return {
 		claim: () => errAsync(createFailure('store-unavailable')),
+		recordDispatch: () => false,
+		recordNotRun: () => undefined,
 		finish: async () => undefined,
 		remove: async () => undefined,
 		drain: async () => undefined,
--- a/tools/lint/verbs.js
+++ b/tools/lint/verbs.js
@@ -1,6 +1,6 @@
 /** Verbs a function or method name may begin with; docs/glossary.md lists the same words. */
 export const verbs = `
-	abort accept acquire add adopt announce append apply assert build cancel check choose close collect
+	abort accept acquire add adopt announce append apply assert build cancel check choose claim close collect
 	compare compute connect convert count create decide decode delete describe detect disconnect drain
 	draw drop encode end enqueue escape expect expire fetch find finish fold format freeze generate get grant
 	handle has hash init is kill list load lock log make mark match measure merge normalize notify observe
