feat(http): dispatch keyed requests once and store what they returned

Cause: the host had no claim service, and a reading of serve-keyed.ts found faults: an open connection that failed with EHOSTUNREACH or ECONNREFUSED counted as never sent; a refusal waited for the removal of its claim; a slot refusal with the outcome 'unknown' left a claim although nothing had run; a 204 response got a content-length and a HEAD response counted as cut; replays repeated the endpoint's load report and draining notice; the SDK's notice broke the JSON lines of standard error. Ruled out: keeping the list of error codes for unreachable endpoints, since the failed system call is what tells them apart.

--- a/packages/cli/src/entry-host.ts
+++ b/packages/cli/src/entry-host.ts
@@ -3,18 +3,16 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import process from 'node:process';
-import {errAsync} from 'neverthrow';
-import type {ClaimService} from '@tanagerrail/claims';
 import type {Configuration} from '@tanagerrail/configuration';
 import {CallerListener, EndpointConnections, type RequestContext} from '@tanagerrail/http';
 import {HostDirectory, PauseDetector} from '@tanagerrail/membership';
 import {AllocatorRegistry, SlotRouter, SlotServer} from '@tanagerrail/peers';
 import {createHttpHostList} from '@tanagerrail/platform';
-import {createFailure} from '@tanagerrail/results';
 import {RetryBudget} from '@tanagerrail/routing';
 import {
 	createLogger, createMetrics, LogLevel, readMonotonicClock, setCommonLogFields, setLogFilter,
 } from '@tanagerrail/telemetry';
+import {createHostClaims, type HostClaims} from './host-claims.js';
 import type {Settings} from './settings.js';
 
 const logger = createLogger('host');
@@ -32,6 +30,7 @@
 	readonly #router: SlotRouter;
 	readonly #slotServer: SlotServer;
 	readonly #listener: CallerListener;
+	readonly #claims: HostClaims;
 	readonly #connections = new EndpointConnections({
 		clock, connections: 200, connectTimeout: 250, idleTimeout: 30_000,
 	});
@@ -52,6 +51,9 @@
 		const getRevision = () => this.#configuration?.revision ?? 0;
 		const onRevision = () => undefined;
 		this.#directory = new HostDirectory({hostList: createHttpHostList({url: platform.hostList.url}), clock});
+		this.#claims = createHostClaims({
+			settings, incarnation: this.#incarnation, directory: this.#directory, getConfiguration: () => this.#configuration,
+		});
 		this.#registry = new AllocatorRegistry({
 			hostId: host.id, directory: this.#directory, clock, getConfiguration: () => this.#configuration,
 		});
@@ -129,6 +131,7 @@
 			}
 		}
 
+		await this.#claims.close(shutdownMilliseconds - (clock() - startedAt));
 		logger.log(LogLevel.info, 'host-stopped', {cutOff: this.#listener.inProgress});
 		this.#close();
 	}
@@ -152,7 +155,7 @@
 			clock,
 			slots: this.#router,
 			connections: this.#connections,
-			claims: createUnavailableClaims(),
+			claims: this.#claims.service,
 			metrics,
 			getConfiguration: () => this.#configuration,
 			getRetryBudget: service => this.#getRetryBudget(service),
@@ -209,17 +212,6 @@
 	});
 }
 
-function createUnavailableClaims(): ClaimService {
-	return {
-		claim: () => errAsync(createFailure('store-unavailable')),
-		recordDispatch: () => false,
-		recordNotRun: () => undefined,
-		finish: async () => undefined,
-		remove: async () => undefined,
-		drain: async () => undefined,
-	};
-}
-
 /**
  * Stops a host when the process is told to end.
  *
--- a/packages/cli/src/settings.ts
+++ b/packages/cli/src/settings.ts
@@ -30,6 +30,11 @@
 			url: z.url(),
 			bucket: z.string().default('tanagerrail'),
 		}).optional(),
+		/** Sign the calls to the table service and the object store. */
+		credentials: z.strictObject({
+			accessKeyId: z.string().min(1),
+			secretAccessKey: z.string().min(1),
+		}).optional(),
 	}),
 	metrics: z.strictObject({
 		address: z.string().optional(),
--- a/packages/http/src/endpoint-attempt.ts
+++ b/packages/http/src/endpoint-attempt.ts
@@ -46,8 +46,6 @@
 	readonly failure: Failure;
 };
 
-const unreachableCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT', 'EADDRNOTAVAIL']);
-
 /**
  * Sends a request to one endpoint over one connection and waits for the headers of the response.
  *
@@ -101,8 +99,8 @@
 			: {outcome: AttemptOutcome.cancelled, failure: createFailure('request-aborted')};
 	}
 
-	const code = (error as NodeJS.ErrnoException).code ?? '';
-	if (unreachableCodes.has(code) || error instanceof errors.ConnectTimeoutError) {
+	// An open connection can fail with codes like EHOSTUNREACH too, after the request was sent.
+	if ((error as NodeJS.ErrnoException).syscall === 'connect' || error instanceof errors.ConnectTimeoutError) {
 		return {outcome: AttemptOutcome.unreachable, failure: createFailure('endpoint-unreachable', parameters)};
 	}
 
--- a/packages/http/src/serve-keyed.ts
+++ b/packages/http/src/serve-keyed.ts
@@ -3,14 +3,15 @@
 import type {Claim, StoredOutcome} from '@tanagerrail/claims';
 import {MissingKey} from '@tanagerrail/configuration';
 import {
-	createFailure, getOutcome, Outcome, type Failure,
+	createFailure, Outcome, type Failure,
 } from '@tanagerrail/results';
-import {AttemptOutcome} from '@tanagerrail/routing';
+import {AttemptOutcome, type SlotGrant} from '@tanagerrail/routing';
 import {hashRequest, type CallerRequest} from './caller-request.js';
 import type {EndpointResponse} from './endpoint-attempt.js';
 import {sendGranted} from './send-granted.js';
 import {stripHopByHop} from './forwarded-headers.js';
 import type {RequestContext} from './request-context.js';
+import {hasNoBody} from './stream-response.js';
 
 /** Form of an `Idempotency-Key`: printable ASCII, at most 255 characters. */
 const keyPattern = /^[!-~]{1,255}$/v;
@@ -21,6 +22,9 @@
 /** Outcomes of attempts that certainly did not run. */
 const notRunOutcomes: ReadonlySet<AttemptOutcome> = new Set([AttemptOutcome.refused, AttemptOutcome.unreachable, AttemptOutcome.unused]);
 
+/** Headers about the endpoint at the time of its response; a replay would tell them too late. */
+const passingHeaders: ReadonlySet<string> = new Set(['endpoint-load-metrics', 'endpoint-state']);
+
 /**
  * Serves a request that is not idempotent: it is claimed before it is dispatched, and dispatched once.
  *
@@ -40,9 +44,14 @@
 		return err(createFailure('key-malformed'));
 	}
 
+	const remaining = request.deadline - context.clock();
+	if (remaining <= 0) {
+		return err(createFailure('deadline-exceeded'));
+	}
+
 	const claimed = await context.claims.claim({
 		service: service.name, key, fingerprint: hashRequest(request), outcomeDays: service.outcomeDays,
-	}, request.deadline - context.clock());
+	}, remaining);
 	if (claimed.isErr()) {
 		return err(claimed.error);
 	}
@@ -53,32 +62,35 @@
 }
 
 async function runClaimed(request: CallerRequest, claim: Claim, context: RequestContext): Promise<Result<StoredOutcome, Failure>> {
-	const outcome = await runOnce(request, context);
+	const outcome = await runOnce(request, context, claim);
 	if (outcome.isOk()) {
 		await context.claims.finish(claim, outcome.value);
 		return outcome;
 	}
 
-	if (getOutcome(outcome.error) === Outcome.notRun) {
-		await context.claims.remove(claim);
+	if (outcome.error.id !== 'outcome-unknown') {
+		// A resend that comes before the removal waits for it, so the refusal need not.
+		void context.claims.remove(claim);
 	}
 
 	return outcome;
 }
 
-/** Runs the request on one endpoint; goes to another one only when the former certainly did not run it. */
-async function runOnce(request: CallerRequest, context: RequestContext): Promise<Result<StoredOutcome, Failure>> {
-	const {service, workClass} = request.match;
+/**
+ * Runs the request on one endpoint; goes to another one only when the former certainly did not run it.
+ *
+ * @returns The response; `outcome-unknown` if the request may have run, otherwise a failure with the outcome `not-run`.
+ */
+async function runOnce(request: CallerRequest, context: RequestContext, claim?: Claim): Promise<Result<StoredOutcome, Failure>> {
+	const {service} = request.match;
 	const budget = context.getRetryBudget(service.name);
-	const fingerprint = hashRequest(request);
 	const excluded: string[] = [];
 	budget.add();
 	for (;;) {
-		const slot = await context.slots.acquire({
-			service: service.name, workClass: workClass.name, remainingMilliseconds: request.deadline - context.clock(), fingerprint, excluded, isImmediate: false,
-		}, request.signal);
+		const slot = await acquireSlot(request, context, excluded);
 		if (slot.isErr()) {
-			return err(slot.error);
+			// Nothing of this request has run, whatever became of an equal one before it.
+			return err({...slot.error, outcome: Outcome.notRun});
 		}
 
 		const grant = slot.value;
@@ -87,26 +99,46 @@
 			continue;
 		}
 
+		if (claim && !context.claims.recordDispatch(claim)) {
+			grant.release({outcome: AttemptOutcome.unused, milliseconds: 0, isDraining: false});
+			return err(createFailure('outcome-unknown'));
+		}
+
 		// The caller's disconnection does not cancel the attempt: its outcome must be stored for the resend.
 		const attempt = await sendGranted({...request, signal: new AbortController().signal}, grant, context, maximumSilenceMilliseconds);
-		if (attempt.isErr()) {
-			if (!notRunOutcomes.has(attempt.error.outcome)) {
-				return err(createFailure('outcome-unknown'));
-			}
+		if (attempt.isOk()) {
+			return collectOutcome(attempt.value, request.method);
+		}
 
-			if (!budget.take()) {
-				return err(attempt.error.failure);
-			}
+		if (!notRunOutcomes.has(attempt.error.outcome)) {
+			return err(createFailure('outcome-unknown'));
+		}
 
-			excluded.push(grant.endpointId);
-			continue;
+		if (claim) {
+			context.claims.recordNotRun(claim);
+		}
+
+		if (!budget.take()) {
+			return err({...attempt.error.failure, outcome: Outcome.notRun});
 		}
 
-		return collectOutcome(attempt.value);
+		excluded.push(grant.endpointId);
 	}
 }
 
-async function collectOutcome({status, headers, body, contentLength}: EndpointResponse): Promise<Result<StoredOutcome, Failure>> {
+async function acquireSlot(request: CallerRequest, {slots, clock}: RequestContext, excluded: readonly string[]): Promise<Result<SlotGrant, Failure>> {
+	const {service, workClass} = request.match;
+	const remainingMilliseconds = request.deadline - clock();
+	if (remainingMilliseconds <= 0) {
+		return err(createFailure('deadline-exceeded'));
+	}
+
+	return slots.acquire({
+		service: service.name, workClass: workClass.name, remainingMilliseconds, fingerprint: hashRequest(request), excluded, isImmediate: false,
+	}, request.signal);
+}
+
+async function collectOutcome({status, headers, body, contentLength}: EndpointResponse, method: string): Promise<Result<StoredOutcome, Failure>> {
 	const chunks: Uint8Array[] = [];
 	try {
 		for await (const chunk of body as AsyncIterable<Uint8Array>) {
@@ -117,16 +149,17 @@
 	}
 
 	const whole = Buffer.concat(chunks);
-	if (contentLength !== undefined && whole.length !== contentLength) {
+	if (contentLength !== undefined && whole.length !== contentLength && !hasNoBody(status, method)) {
 		return err(createFailure('outcome-unknown'));
 	}
 
-	return ok({status, headers: stripHopByHop(headers), body: whole});
+	const stored = Object.entries(stripHopByHop(headers)).filter(([name]) => !passingHeaders.has(name));
+	return ok({status, headers: Object.fromEntries(stored), body: whole});
 }
 
 function respond(outcome: Result<StoredOutcome, Failure>, res: ServerResponse): Result<number, Failure> {
 	return outcome.map(({status, headers, body}) => {
-		res.writeHead(status, {...headers, 'content-length': body.length});
+		res.writeHead(status, hasNoBody(status, res.req.method ?? '') ? headers : {...headers, 'content-length': body.length});
 		res.end(body);
 		return status;
 	});
--- a/packages/http/src/stream-response.ts
+++ b/packages/http/src/stream-response.ts
@@ -7,6 +7,17 @@
 
 const statusesWithoutBody = new Set([204, 304]);
 
+/**
+ * Tells whether a response has no body, whatever length it declares (RFC 9110, section 6.4.1).
+ *
+ * @param status - Status of the response.
+ * @param method - Method of the request.
+ * @returns Whether no body follows the headers.
+ */
+export function hasNoBody(status: number, method: string): boolean {
+	return method === 'HEAD' || statusesWithoutBody.has(status);
+}
+
 /**
  * Tells whether the end of a response can be recognised; without a length or chunks a cut response looks complete.
  *
@@ -15,7 +26,7 @@
  * @returns Whether a complete body can be told from a cut one.
  */
 export function hasRecognisableEnd(response: EndpointResponse, method: string): boolean {
-	return method === 'HEAD' || statusesWithoutBody.has(response.status)
+	return hasNoBody(response.status, method)
 		|| response.contentLength !== undefined || response.headers['transfer-encoding'] !== undefined;
 }
 
--- a/packages/platform/src/service-client.ts
+++ b/packages/platform/src/service-client.ts
@@ -1,3 +1,4 @@
+import process from 'node:process';
 import {NodeHttpHandler} from '@smithy/node-http-handler';
 
 /** Credentials that sign the calls. */
@@ -29,6 +30,9 @@
 	connections: 50,
 } as const satisfies Partial<ServiceClientOptions>;
 
+// The SDK's notice about later versions of Node.js is not a JSON line, and standard error carries nothing else.
+process.env.AWS_SDK_JS_NODE_VERSION_SUPPORT_WARNING_DISABLED ??= 'true';
+
 /**
  * Builds the SDK client configuration. Calls are attempted once: only the caller knows whether a write whose effect is
  * unknown may be sent again.
