feat(bench): measure tail and overhead beside baselines and the bound

The targets of docs/design.md, section 13, compare the product with baselines and a bound on the same arrivals.

Load: Poisson arrivals planned from a seed before the run, sent open-loop by worker threads, latency from the intended start. Baselines and bound are SlotSources in processes that otherwise run the product's caller listener and connections. Means of 20 ms: at 10 ms the bound's single process would be limited by its processor and not by the slots.

echarts draws the plot without a DOM; its declarations do not resolve under nodenext, so the few calls in use are typed in place.

--- /dev/null
+++ b/packages/bench/src/baselines/load-reports.ts
@@ -0,0 +1,35 @@
+import {subscribe} from 'node:diagnostics_channel';
+
+/** Message of undici's channel `undici:request:headers`. */
+type HeadersMessage = {
+	readonly request: {readonly origin: string};
+	readonly response: {readonly headers: readonly Uint8Array[]};
+};
+
+/**
+ * Collects the load that endpoints report in their responses, seen on undici's diagnostics channel.
+ *
+ * @returns Latest reported requests in each endpoint, by `ip:port`.
+ */
+export function collectLoadReports(): ReadonlyMap<string, number> {
+	const reports = new Map<string, number>();
+	subscribe('undici:request:headers', message => {
+		const {request, response} = message as HeadersMessage;
+		const text = findHeader(response.headers, 'endpoint-load-metrics');
+		const inFlight = /in_flight=(?<count>\d+)/v.exec(text ?? '')?.groups?.count;
+		if (inFlight !== undefined) {
+			reports.set(request.origin.slice('http://'.length), Number(inFlight));
+		}
+	});
+	return reports;
+}
+
+function findHeader(headers: readonly Uint8Array[], name: string): string | undefined {
+	for (let i = 0; i < headers.length; i += 2) {
+		if (String(headers[i]).toLowerCase() === name) {
+			return String(headers[i + 1]);
+		}
+	}
+
+	return undefined;
+}
--- /dev/null
+++ b/packages/bench/src/experiments/standard-fleet.ts
@@ -0,0 +1,94 @@
+import type {ServiceConfiguration, WorkClass} from '@tanagerrail/configuration';
+import type {EndpointBehaviour} from '@tanagerrail/stand-ins';
+import type {VariantRun} from '../fleet/index.js';
+import {summarizeSamples, type Sample} from '../load/index.js';
+import {buildService, shortWorkClass, type TestbedService} from '../testbed/index.js';
+import {formatFigure, type FigureRow} from './experiment.js';
+
+/**
+ * Size of most experiments. Means of 20 ms keep processor time from being the limit on a shared machine of 10 cores:
+ * 1,500 requests/s use one to two cores in 15 entry hosts, and half a core in the single process of the bound.
+ */
+export const standardFleet = {
+	entries: 15, endpoints: 10, slots: 3, meanMilliseconds: 20, deadlineMilliseconds: 1000,
+} as const;
+
+/** Name of the service in most experiments. */
+export const standardServiceName = 'claim-status';
+
+/** Work class of the reads in most experiments. */
+export const readClass: WorkClass = {
+	...shortWorkClass, usualMilliseconds: standardFleet.meanMilliseconds, deadlineMilliseconds: standardFleet.deadlineMilliseconds,
+};
+
+// Timers of Node.js have a resolution of 1 ms and fire late by about half of it.
+const timerMilliseconds = 0.5;
+
+/**
+ * Builds the service of most experiments: 10 endpoints with 3 slots.
+ *
+ * @param overrides - Fields of the configuration that differ, and the behaviour of the endpoints.
+ * @returns The service.
+ */
+export function buildStandardService({configuration = {}, behaviour = {}}: {
+	configuration?: Partial<ServiceConfiguration>;
+	behaviour?: Partial<EndpointBehaviour>;
+} = {}): TestbedService {
+	return {
+		configuration: buildService(standardServiceName, {
+			slotsPerEndpoint: standardFleet.slots, workClasses: [{...readClass, name: shortWorkClass.name}], ...configuration,
+		}),
+		endpoints: standardFleet.endpoints,
+		behaviour,
+	};
+}
+
+/**
+ * Computes the rate that uses a share of the slots.
+ *
+ * @param share - Share of the slots' capacity, for example 0.8.
+ * @param meanMilliseconds - Mean service time without the stand-in's timers.
+ * @returns Requests in one second.
+ */
+export function computeRate(share: number, meanMilliseconds: number = standardFleet.meanMilliseconds): number {
+	return share * standardFleet.endpoints * standardFleet.slots * 1000 / (meanMilliseconds + timerMilliseconds);
+}
+
+/**
+ * Selects the samples whose intended start lies in a time window.
+ *
+ * @param samples - The samples.
+ * @param from - Start of the window in milliseconds, included.
+ * @param to - End of the window in milliseconds, excluded.
+ * @returns The selected samples.
+ */
+export function selectWindow(samples: readonly Sample[], from: number, to: number): Sample[] {
+	return samples.filter(({arrival}) => arrival.at >= from && arrival.at < to);
+}
+
+/**
+ * Describes a run in one line of figures.
+ *
+ * @param run - The run.
+ * @param labels - Columns that tell the runs apart.
+ * @param samples - Samples that count; by default all.
+ * @returns The line; times in milliseconds, processor use in cores, memory in megabytes.
+ */
+export function describeRun(run: VariantRun, labels: FigureRow, samples: readonly Sample[] = run.samples): FigureRow {
+	const {requests, refused, failed, p50, p99, p999, latenessP99} = summarizeSamples(samples);
+	return {
+		...labels,
+		requests,
+		refused,
+		failed,
+		'p50 ms': formatFigure(p50),
+		'p99 ms': formatFigure(p99),
+		'p99.9 ms': formatFigure(p999),
+		'generator late p99 ms': formatFigure(latenessP99),
+		'entry cores': formatFigure(run.entryCores),
+		'endpoint cores': formatFigure(run.endpointCores),
+		'processor pressure': formatFigure(run.processorPressure),
+		repeats: run.repeats,
+		'entry MB': Math.round(run.entryBytes / 1e6),
+	};
+}
--- /dev/null
+++ b/packages/bench/src/experiments/tail.ts
@@ -0,0 +1,139 @@
+import type {WorkClass} from '@tanagerrail/configuration';
+import {
+	baselineVariants, runVariant, updateEndpoint, Variant, type PlannedFault, type VariantRun,
+} from '../fleet/index.js';
+import {planArrivals, RandomSource, summarizeSamples} from '../load/index.js';
+import {
+	checkAtLeast, checkAtMost, type ExperimentOptions, type ExperimentReport, type FigureRow, type TargetResult,
+} from './experiment.js';
+import {
+	buildStandardService, computeRate, describeRun, readClass, standardFleet, standardServiceName,
+} from './standard-fleet.js';
+
+const loads = [0.6, 0.8, 0.9] as const;
+const hedgedLoad = 0.6;
+const hedged = 'product, hedged';
+const runMilliseconds = 8000;
+const quickMilliseconds = 1500;
+const stallShare = 0.004;
+const stallMilliseconds = 150;
+const serverStallMilliseconds = 100;
+const meanServerStallInterval = 3000;
+const allowedRatio = 1.15;
+const closedShare = 0.75;
+const hedgedRatio = 0.5;
+const extraAttempts = 1.02;
+
+type TailRun = VariantRun & {readonly name: string; readonly load: number};
+
+/**
+ * Measures the tail of short work at 60, 80 and 90% of the slots' capacity with rare stalls of a request and of a server.
+ *
+ * @param options - Seed and length.
+ * @returns Targets of p99 against the bound and the best baseline, and of p99.9 with hedged reads.
+ */
+export async function runTail(options: ExperimentOptions): Promise<ExperimentReport> {
+	const runs: TailRun[] = [];
+	for (const load of options.isQuick ? [hedgedLoad] : loads) {
+		for (const variant of Object.values(Variant)) {
+			runs.push(await runOnce(options, {variant, load, hedge: false}));
+		}
+	}
+
+	runs.push(await runOnce(options, {variant: Variant.product, load: hedgedLoad, hedge: true}));
+	return {
+		targets: [...runs.filter(({name}) => name === Variant.product).flatMap(run => checkProduct(run, runs)), ...checkHedging(runs)],
+		rows: runs.map(run => describeRun(run, {load: run.load, variant: run.name, ...describeAttempts(run)})),
+		plot: {
+			title: 'p99 of short work',
+			xName: 'load',
+			yName: 'ms',
+			series: Object.values(Variant).map(name => ({name, points: runs.filter(run => run.name === name).map(run => [run.load, summarizeSamples(run.samples).p99] as const)})),
+		},
+	};
+}
+
+async function runOnce({seed, isQuick, onProgress}: ExperimentOptions, {variant, load, hedge}: {variant: Variant; load: number; hedge: boolean}): Promise<TailRun> {
+	const name = hedge ? hedged : variant;
+	onProgress(`${name} at ${load * 100}%`);
+	const milliseconds = isQuick ? quickMilliseconds : runMilliseconds;
+	const workClass: WorkClass = {...readClass, hedge};
+	const run = await runVariant({
+		variant,
+		seed,
+		entries: standardFleet.entries,
+		testbed: {
+			services: [buildStandardService({
+				configuration: {workClasses: [workClass]},
+				behaviour: {requestStallShare: stallShare, requestStallMilliseconds: stallMilliseconds},
+			})],
+		},
+		arrivals: planArrivals({
+			seed,
+			hosts: standardFleet.entries,
+			phases: [{milliseconds, rate: computeRate(load, standardFleet.meanMilliseconds + (stallShare * stallMilliseconds))}],
+			mix: [{
+				kind: 'short', share: 1, path: standardServiceName, meanMilliseconds: standardFleet.meanMilliseconds,
+			}],
+		}),
+		faults: planServerStalls(seed, milliseconds),
+		withRuns: true,
+	});
+	return {...run, name, load};
+}
+
+/** Plans stalls of single servers at the same times for every variant. */
+function planServerStalls(seed: number, milliseconds: number): PlannedFault[] {
+	const random = new RandomSource(seed + 1);
+	const faults: PlannedFault[] = [];
+	let at = random.drawExponential(meanServerStallInterval);
+	while (at < milliseconds) {
+		const index = random.drawIndex(standardFleet.endpoints);
+		faults.push({
+			at,
+			apply: async ({testbed}) => updateEndpoint(testbed.endpoints[index]!, {stallMilliseconds: serverStallMilliseconds}),
+		});
+		at += random.drawExponential(meanServerStallInterval);
+	}
+
+	return faults;
+}
+
+function checkProduct(run: TailRun, runs: readonly TailRun[]): TargetResult[] {
+	const {load} = run;
+	const product = readP99(run);
+	const bound = readP99(findRun(runs, Variant.bound, load));
+	const baseline = Math.min(...baselineVariants.map(name => readP99(findRun(runs, name, load))));
+	const percent = load * 100;
+	return [
+		checkAtMost(`p99 of short work divided by the bound's at ${percent}%`, product / bound, allowedRatio),
+		...(load > hedgedLoad
+			? [checkAtLeast(`share of the distance between best baseline and bound that is closed at ${percent}%`, (baseline - product) / (baseline - bound), closedShare)]
+			: []),
+	];
+}
+
+function checkHedging(runs: readonly TailRun[]): TargetResult[] {
+	const run = findRun(runs, hedged, hedgedLoad);
+	const bound = findRun(runs, Variant.bound, hedgedLoad);
+	return [
+		checkAtMost('p99.9 with hedged reads divided by the bound\'s without, at 60%', summarizeSamples(run.samples).p999 / summarizeSamples(bound.samples).p999, hedgedRatio),
+		checkAtMost('attempts divided by requests with hedged reads at 60%', countAttempts(run) / run.samples.length, extraAttempts),
+	];
+}
+
+function findRun(runs: readonly TailRun[], name: string, load: number): TailRun {
+	return runs.find(run => run.name === name && run.load === load)!;
+}
+
+function readP99(run: TailRun): number {
+	return summarizeSamples(run.samples).p99;
+}
+
+function countAttempts({histories}: TailRun): number {
+	return histories.reduce((sum, {runs}) => sum + runs.filter(({target}) => !target.startsWith('/-/')).length, 0);
+}
+
+function describeAttempts(run: TailRun): FigureRow {
+	return {attempts: countAttempts(run)};
+}
--- /dev/null
+++ b/packages/bench/src/report/render-plot.ts
@@ -0,0 +1,38 @@
+import {createRequire} from 'node:module';
+import type {Plot} from '../experiments/index.js';
+
+// The declarations of echarts 6.0.0 do not resolve with `moduleResolution: nodenext`; this types the part in use.
+type Charts = {
+	init(element: null, theme: null, options: {renderer: 'svg'; ssr: true; width: number; height: number}): {
+		setOption(option: Readonly<Record<string, unknown>>): void;
+		renderToSVGString(): string;
+		dispose(): void;
+	};
+};
+
+const charts = createRequire(import.meta.url)('echarts') as Charts;
+const size = {width: 800, height: 500};
+
+/**
+ * Renders a plot.
+ *
+ * @param plot - Lines and their names.
+ * @returns An SVG document.
+ */
+export function renderPlot({title, xName, yName, series}: Plot): string {
+	const chart = charts.init(null, null, {renderer: 'svg', ssr: true, ...size});
+	chart.setOption({
+		animation: false,
+		backgroundColor: '#fff',
+		title: {text: title},
+		legend: {bottom: 0},
+		xAxis: {type: 'value', name: xName, scale: true},
+		yAxis: {type: 'value', name: yName},
+		series: series.map(({name, points}) => ({
+			type: 'line', name, data: points, symbolSize: 6,
+		})),
+	});
+	const svg = chart.renderToSVGString();
+	chart.dispose();
+	return svg;
+}
--- a/packages/stand-ins/src/endpoint-behaviour.ts
+++ b/packages/stand-ins/src/endpoint-behaviour.ts
@@ -21,6 +21,11 @@
 	/** Time after a start in which requests take `coldSlowness` times as long, in milliseconds. */
 	coldMilliseconds: z.number().min(0),
 	coldSlowness: z.number().min(0),
+	/** Share of requests that stall for `requestStallMilliseconds`, between 0 and 1; drawn from seed and target. */
+	requestStallShare: z.number().min(0).max(1),
+	requestStallMilliseconds: z.number().min(0),
+	/** Another seed makes other requests stall, so that a request that stalls here may not stall elsewhere. */
+	requestStallSeed: z.string(),
 	/** Whether work stops at the deadline of `request-timeout`. */
 	keepsDeadlines: z.boolean(),
 	/** Whether work stops when its caller is gone. */
@@ -50,6 +55,9 @@
 	reportLagMilliseconds: 0,
 	coldMilliseconds: 0,
 	coldSlowness: 5,
+	requestStallShare: 0,
+	requestStallMilliseconds: 150,
+	requestStallSeed: '',
 	keepsDeadlines: true,
 	stopsCancelled: true,
 	crashTarget: undefined,
--- a/packages/stand-ins/src/endpoint-request.ts
+++ b/packages/stand-ins/src/endpoint-request.ts
@@ -1,6 +1,6 @@
 import {createHash} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {readWallClock, type EndpointRun} from './endpoint-run-log.js';
+import {readWallClock, RunEnd, type EndpointRun} from './endpoint-run-log.js';
 
 /** Request header with the duration of the work in milliseconds. */
 export const durationHeader = 'stand-in-milliseconds';
@@ -52,6 +52,19 @@
 	};
 }
 
+/**
+ * Describes a request that came on a silent connection; its body is not read.
+ *
+ * @param req - The request.
+ * @returns A record that has ended.
+ */
+export function describeUnheard({method, url, headers}: IncomingMessage): EndpointRun {
+	const key = headers['idempotency-key'];
+	return {
+		method: method ?? '', target: url ?? '', key: typeof key === 'string' ? key : undefined, bodyHash: '', timeout: undefined, receivedAt: readWallClock(), end: RunEnd.unheard,
+	};
+}
+
 /**
  * Creates the signal that stops the work of a request.
  *
--- a/packages/stand-ins/src/endpoint-run-log.ts
+++ b/packages/stand-ins/src/endpoint-run-log.ts
@@ -1,6 +1,6 @@
-/** How a request ended at a stand-in endpoint. */
+/** How a request ended at a stand-in endpoint; `unheard` came on a connection that had gone silent. */
 export const RunEnd = {
-	answered: 'answered', refused: 'refused', failed: 'failed', cancelled: 'cancelled', expired: 'expired', crashed: 'crashed',
+	answered: 'answered', refused: 'refused', failed: 'failed', cancelled: 'cancelled', expired: 'expired', crashed: 'crashed', unheard: 'unheard',
 } as const;
 
 /** One of the ends of a request. */
--- a/packages/stand-ins/src/stand-in-endpoint.ts
+++ b/packages/stand-ins/src/stand-in-endpoint.ts
@@ -9,9 +9,10 @@
 	defaultEndpointBehaviour, endpointFaultsSchema, type EndpointBehaviour, type EndpointFaults,
 } from './endpoint-behaviour.js';
 import {buildContent, type EndpointContent} from './endpoint-content.js';
+import {computeDuration} from './endpoint-duration.js';
 import {EndpointLoadReport} from './endpoint-load-report.js';
 import {
-	bodyDurationHeader, createStopSignal, durationHeader, lengthHeader, receiveRequest, StopReason, type EndpointRequest,
+	bodyDurationHeader, createStopSignal, describeUnheard, lengthHeader, receiveRequest, StopReason, type EndpointRequest,
 } from './endpoint-request.js';
 import {
 	EndpointRunLog, readWallClock, RunEnd, type EndpointRun,
@@ -30,7 +31,10 @@
 	readonly #sockets = new Set<Socket>();
 	readonly #silent = new WeakSet<Socket>();
 	readonly #adminHandlers: Readonly<Record<string, (request: EndpointRequest) => void>> = {
-		'GET /-/load': ({res}) => {
+		'GET /-/load': ({res, run}) => {
+			this.#log.add({
+				...run, startedAt: run.receivedAt, endedAt: run.receivedAt, end: RunEnd.answered,
+			});
 			this.#describeState(res);
 			res.end('{}');
 		},
@@ -131,6 +135,7 @@
 	async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
 		// A silent connection stays open, but nothing is read from it or written to it any more.
 		if (this.#silent.has(req.socket)) {
+			this.#log.add(describeUnheard(req));
 			return;
 		}
 
@@ -179,7 +184,7 @@
 				return;
 			}
 
-			await this.#work.run(this.#computeDuration(request), signal);
+			await this.#work.run(computeDuration(request, this.#behaviour, performance.now() - this.#listeningSince), signal);
 			await this.#respond(request);
 		} catch {
 			const isExpired = signal.reason === StopReason.expired;
@@ -238,12 +243,6 @@
 		res.writeHead(status, end === RunEnd.refused ? {'tanagerrail-outcome': 'not-run'} : {}).end();
 	}
 
-	#computeDuration({req}: EndpointRequest): number {
-		const {slowness, coldMilliseconds, coldSlowness} = this.#behaviour;
-		const isCold = performance.now() - this.#listeningSince < coldMilliseconds;
-		return Number(req.headers[durationHeader] ?? 0) * slowness * (isCold ? coldSlowness : 1);
-	}
-
 	/** Adds the load report and the draining notice. */
 	#describeState(res: ServerResponse): void {
 		const {slots, reportedInFlight, reportLagMilliseconds, isDraining} = this.#behaviour;
--- a/tools/lint/verbs.js
+++ b/tools/lint/verbs.js
@@ -7,6 +7,6 @@
 	open parse pause pick plan print probe publish push put query rank read recall receive record
 	refuse register release remove render repeat replay report request reset resolve respond restore
 	restart resume retry run save scan schedule select send serve set settle shift show sign skip sort spawn split
-	start stop store stream strip sum take test track transact transform trim try update validate
-	verify visit wait watch withdraw write
+	start stop store stream strip sum summarize take test track transact transform trim try update validate
+	verify visit wait warm watch withdraw write
 `.trim().split(/\s+/v);
