feat(stand-ins): relay TCP connections that can be cut

Scenarios need cuts between two processes, also in one direction, in which bytes vanish while connections stay open, or connections break with a reset.

A cut by firewall rules was ruled out: it needs rights that tests don't have. The relay sits between the address in a host's own list and the process. A stream that lost bytes is reset when the cut ends, because continuing it would corrupt it.

tap packages/stand-ins/dist/tests/tcp-relay.test.js passes.

The relay lets scenarios cut one direction between two processes.

--- /dev/null
+++ b/packages/stand-ins/src/tcp-relay.ts
@@ -0,0 +1,153 @@
+import {
+	connect, createServer, type Server, type Socket,
+} from 'node:net';
+
+/** Directions of a relay: `forward` is from the side that opened the connection, `back` is toward it. */
+export const RelayDirection = {forward: 'forward', back: 'back', both: 'both'} as const;
+
+/** `forward`, `back` or `both`. */
+export type RelayDirection = typeof RelayDirection[keyof typeof RelayDirection];
+
+/** What a cut does: `silent` discards bytes and keeps connections open, `reset` breaks and refuses connections. */
+export const RelayCut = {silent: 'silent', reset: 'reset'} as const;
+
+/** `silent` or `reset`. */
+export type RelayCut = typeof RelayCut[keyof typeof RelayCut];
+
+type Pair = {readonly outer: Socket; readonly inner: Socket; readonly silenced: Set<RelayDirection>};
+
+/** Forwards TCP connections to one address and can be cut in one or both directions. */
+export class TcpRelay {
+	readonly #server: Server;
+	readonly #target: {readonly host: string; readonly port: number};
+	readonly #pairs = new Set<Pair>();
+	readonly #silenced = new Set<RelayDirection>();
+	#isRefusing = false;
+
+	/**
+	 * @param target - `ip:port` of the process behind the relay.
+	 */
+	constructor(target: string) {
+		const separator = target.lastIndexOf(':');
+		this.#target = {host: target.slice(0, separator), port: Number(target.slice(separator + 1))};
+		this.#server = createServer({allowHalfOpen: true}, socket => {
+			this.#accept(socket);
+		});
+	}
+
+	/** Open connections. */
+	get connections(): number {
+		return this.#pairs.size;
+	}
+
+	/**
+	 * Starts to listen.
+	 *
+	 * @param port - Port; 0 picks a free one.
+	 * @returns `ip:port` of the relay.
+	 */
+	async start(port = 0): Promise<string> {
+		await new Promise<void>((resolve, reject) => {
+			this.#server.once('error', reject);
+			this.#server.listen(port, '127.0.0.1', resolve);
+		});
+		const address = this.#server.address();
+		return `127.0.0.1:${typeof address === 'object' && address ? address.port : port}`;
+	}
+
+	/**
+	 * Cuts the connection between the two sides until {@link restore}.
+	 *
+	 * @param cut - `silent` also accepts new connections and discards their bytes; `reset` breaks open connections and refuses new ones.
+	 * @param direction - Direction in which bytes vanish; a reset always affects both.
+	 */
+	disconnect(cut: RelayCut = RelayCut.silent, direction: RelayDirection = RelayDirection.both): void {
+		if (cut === RelayCut.reset) {
+			this.#isRefusing = true;
+			this.reset();
+			return;
+		}
+
+		this.#silenced.add(direction);
+	}
+
+	/** Silences the connections that are open now for good; new ones work. */
+	disconnectOpen(): void {
+		for (const {silenced} of this.#pairs) {
+			silenced.add(RelayDirection.both);
+		}
+	}
+
+	/** Ends all cuts. Connections that lost bytes are broken, because their streams can no longer be continued. */
+	restore(): void {
+		if (this.#silenced.size > 0) {
+			this.reset();
+		}
+
+		this.#isRefusing = false;
+		this.#silenced.clear();
+	}
+
+	/** Breaks all open connections with a reset. */
+	reset(): void {
+		for (const {outer, inner} of this.#pairs) {
+			outer.resetAndDestroy();
+			inner.resetAndDestroy();
+		}
+
+		this.#pairs.clear();
+	}
+
+	/** Stops at once. */
+	stop(): void {
+		this.reset();
+		this.#server.close();
+	}
+
+	#accept(outer: Socket): void {
+		if (this.#isRefusing) {
+			outer.resetAndDestroy();
+			return;
+		}
+
+		const inner = connect({...this.#target, allowHalfOpen: true});
+		const pair: Pair = {outer, inner, silenced: new Set()};
+		outer.setNoDelay(true);
+		inner.setNoDelay(true);
+		this.#pairs.add(pair);
+		this.#forward(pair, RelayDirection.forward);
+		this.#forward(pair, RelayDirection.back);
+	}
+
+	#forward(pair: Pair, direction: RelayDirection): void {
+		const [source, sink] = direction === RelayDirection.forward ? [pair.outer, pair.inner] : [pair.inner, pair.outer];
+		source.on('data', (chunk: Uint8Array) => {
+			if (!this.#isSilenced(pair, direction) && !sink.destroyed && !sink.write(chunk)) {
+				source.pause();
+				sink.once('drain', () => {
+					source.resume();
+				});
+			}
+		});
+		source.on('end', () => {
+			if (!this.#isSilenced(pair, direction)) {
+				sink.end();
+			}
+		});
+		source.on('error', () => {
+			source.destroy();
+		});
+		source.on('close', () => {
+			if (this.#isSilenced(pair, direction)) {
+				return;
+			}
+
+			this.#pairs.delete(pair);
+			sink.destroy();
+		});
+	}
+
+	#isSilenced({silenced}: Pair, direction: RelayDirection): boolean {
+		return [this.#silenced, silenced].some(set => set.has(direction) || set.has(RelayDirection.both));
+	}
+}
--- /dev/null
+++ b/packages/stand-ins/tests/tcp-relay.test.ts
@@ -0,0 +1,114 @@
+import {once} from 'node:events';
+import {connect, createServer, type Socket} from 'node:net';
+import t from 'tap';
+import {RelayCut, RelayDirection, TcpRelay} from '../src/tcp-relay.js';
+
+async function startEcho(): Promise<{address: string; received: () => string; stop: () => void}> {
+	let received = '';
+	const sockets = new Set<Socket>();
+	const server = createServer(socket => {
+		sockets.add(socket);
+		socket.on('error', () => socket.destroy());
+		socket.on('data', (chunk: Uint8Array) => {
+			received += Buffer.from(chunk).toString();
+			socket.write(chunk);
+		});
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const address = server.address();
+	return {
+		address: `127.0.0.1:${typeof address === 'object' && address ? address.port : 0}`,
+		received: () => received,
+		stop() {
+			server.close();
+			for (const socket of sockets) {
+				socket.destroy();
+			}
+		},
+	};
+}
+
+async function openClient(address: string): Promise<{socket: Socket; received: () => string; failure: Promise<string>}> {
+	const socket = connect({host: '127.0.0.1', port: Number(address.split(':')[1])});
+	let received = '';
+	socket.on('data', (chunk: Uint8Array) => {
+		received += Buffer.from(chunk).toString();
+	});
+	const failure = new Promise<string>(resolve => {
+		socket.once('error', error => {
+			resolve((error as NodeJS.ErrnoException).code ?? '');
+		});
+	});
+	await once(socket, 'connect');
+	return {socket, received: () => received, failure};
+}
+
+async function waitMilliseconds(milliseconds: number): Promise<void> {
+	await new Promise(resolve => {
+		setTimeout(resolve, milliseconds);
+	});
+}
+
+async function waitFor(holds: () => boolean): Promise<void> {
+	for (let tries = 0; tries < 400 && !holds(); tries++) {
+		await waitMilliseconds(5);
+	}
+}
+
+// Each row guards against a cut that leaks bytes in the cut direction or blocks the other one.
+const cuts = [
+	{direction: RelayDirection.forward, isRequestSeen: false},
+	{direction: RelayDirection.back, isRequestSeen: true},
+	{direction: RelayDirection.both, isRequestSeen: false},
+] as const;
+for (const {direction, isRequestSeen} of cuts) {
+	t.test(`a silent cut ${direction} discards bytes until it is restored`, async t => {
+		const echo = await startEcho();
+		const relay = new TcpRelay(echo.address);
+		const address = await relay.start();
+		t.teardown(() => {
+			relay.stop();
+			echo.stop();
+		});
+		const client = await openClient(address);
+		client.socket.write('a');
+		await waitFor(() => client.received() === 'a');
+		relay.disconnect(RelayCut.silent, direction);
+		client.socket.write('b');
+		await Promise.race([waitFor(() => echo.received() === 'ab'), waitMilliseconds(50)]);
+		t.equal(echo.received(), isRequestSeen ? 'ab' : 'a');
+		t.equal(client.received(), 'a');
+		relay.restore();
+		t.equal(await client.failure, 'ECONNRESET', 'a stream with a gap is not continued');
+		const next = await openClient(address);
+		next.socket.write('c');
+		await waitFor(() => next.received() === 'c');
+		next.socket.destroy();
+	});
+}
+
+t.test('a reset breaks open connections, and silenced open connections leave new ones working', async t => {
+	const echo = await startEcho();
+	const relay = new TcpRelay(echo.address);
+	const address = await relay.start();
+	t.teardown(() => {
+		relay.stop();
+		echo.stop();
+	});
+	const old = await openClient(address);
+	await waitFor(() => relay.connections === 1);
+	relay.disconnectOpen();
+	old.socket.write('lost');
+	const next = await openClient(address);
+	next.socket.write('kept');
+	await waitFor(() => next.received() === 'kept');
+	t.equal(old.received(), '');
+	relay.disconnect(RelayCut.reset);
+	t.equal(await next.failure, 'ECONNRESET');
+	// The reset may arrive before or after the client sees the connection open.
+	await t.rejects(openClient(address).then(async ({failure}) => {
+		throw new Error(await failure);
+	}), /ECONNRESET/v);
+	old.socket.destroy();
+});
