--- a/packages/stand-ins/tests/tcp-relay.test.ts
+++ b/packages/stand-ins/tests/tcp-relay.test.ts
@@ -44,6 +44,11 @@
 	return {socket, received: () => received, failure};
 }
 
+async function expectFailure(address: string): Promise<void> {
+	const {failure} = await openClient(address);
+	throw new Error(await failure);
+}
+
 async function waitMilliseconds(milliseconds: number): Promise<void> {
 	await new Promise(resolve => {
 		setTimeout(resolve, milliseconds);
@@ -107,8 +112,6 @@
 	relay.disconnect(RelayCut.reset);
 	t.equal(await next.failure, 'ECONNRESET');
 	// The reset may arrive before or after the client sees the connection open.
-	await t.rejects(openClient(address).then(async ({failure}) => {
-		throw new Error(await failure);
-	}), /ECONNRESET/v);
+	await t.rejects(expectFailure(address), /ECONNRESET/v);
 	old.socket.destroy();
 });
