fix(http): leave no listeners behind while a body waits for its caller

A 400 kB download to one caller made Node.js report a possible listener leak on standard error: each wait for `drain` left a `close` listener on the response.

Raising the listener limit was ruled out, since the listeners would still add up over a long body. The wait now removes the listener that did not fire.

scenarios/graceful-stop.yaml reported the warning before the change and passes after it.

--- a/packages/http/src/stream-response.ts
+++ b/packages/http/src/stream-response.ts
@@ -40,7 +40,7 @@
 			}
 
 			if (!res.write(chunk)) {
-				await Promise.race([once(res, 'drain'), once(res, 'close')]);
+				await waitDrain(res);
 			}
 		}
 	} catch {
@@ -56,3 +56,14 @@
 	res.end();
 	return ok(undefined);
 }
+
+/** Waits until more can be written or the caller is gone; leaves no listener behind, because a long body waits often. */
+async function waitDrain(res: ServerResponse): Promise<void> {
+	const controller = new AbortController();
+	const {signal} = controller;
+	try {
+		await Promise.race([once(res, 'drain', {signal}), once(res, 'close', {signal})]);
+	} finally {
+		controller.abort();
+	}
+}
