feat(bench): describe failures as scenario files

A scenario is one YAML file; each step has a schema and a handler in a lookup table. A fleet starts entry processes whose connections to peers, endpoints and stores pass through relays. Callers keep what they were told, and the logs of the stand-ins are compared with it by content hash and by the id of each sending. Endpoint stand-ins run in the scenario's process, so that faults and logs need no second protocol.

--- /dev/null
+++ b/packages/bench/src/scenarios/fleet-endpoint.ts
@@ -0,0 +1,55 @@
+import {StandInEndpoint, type EndpointBehaviour, type EndpointRun} from '@tanagerrail/stand-ins';
+
+/** Options of {@link FleetEndpoint}. */
+export type FleetEndpointOptions = {
+	readonly id: string;
+	readonly service: string;
+	readonly failureDomain: string;
+	readonly behaviour: Partial<EndpointBehaviour>;
+};
+
+/** One endpoint stand-in of a fleet; it keeps its log of what ran over restarts. */
+export class FleetEndpoint {
+	readonly standIn: StandInEndpoint;
+	/** Whether the host list shows it as leaving. */
+	isLeaving = false;
+	#port = 0;
+	#isRunning = false;
+
+	constructor(readonly options: FleetEndpointOptions) {
+		this.standIn = new StandInEndpoint(options.behaviour);
+	}
+
+	get id(): string {
+		return this.options.id;
+	}
+
+	/** `ip:port`. */
+	get address(): string {
+		return `127.0.0.1:${this.#port}`;
+	}
+
+	get runs(): readonly EndpointRun[] {
+		return this.standIn.runs;
+	}
+
+	get isRunning(): boolean {
+		return this.#isRunning;
+	}
+
+	/** Starts to listen, again on the former port; nothing happens while it runs. */
+	async start(): Promise<void> {
+		if (!this.#isRunning) {
+			this.#isRunning = true;
+			this.#port = await this.standIn.start(this.#port);
+		}
+	}
+
+	/** Stops at once and breaks all connections. */
+	kill(): void {
+		if (this.#isRunning) {
+			this.#isRunning = false;
+			this.standIn.stop();
+		}
+	}
+}
--- /dev/null
+++ b/packages/bench/src/scenarios/fleet.ts
@@ -0,0 +1,232 @@
+import fs from 'node:fs';
+import os from 'node:os';
+import path from 'node:path';
+import {setTimeout as waitMilliseconds} from 'node:timers/promises';
+import type {Configuration} from '@tanagerrail/configuration';
+import {
+	StandInHostList, StandInObjectStore, StandInTable, type PlatformUrls, type TargetGroup,
+} from '@tanagerrail/stand-ins';
+import {EntryProcess, pickPorts, type EntryProcessOptions} from '../testbed/index.js';
+import {FleetEndpoint} from './fleet-endpoint.js';
+import {defaultFleetConfiguration, defaultFleetOptions, type FleetOptions} from './fleet-options.js';
+import {RelayMesh} from './relay-mesh.js';
+
+type EntryPorts = EntryProcessOptions['ports'];
+
+/**
+ * Entry processes with endpoint and platform stand-ins in this process. Each entry has a host list of its own, so that
+ * connections between each two processes pass through a relay that can be cut.
+ */
+export class Fleet {
+	/**
+	 * Starts everything and waits until each entry is ready.
+	 *
+	 * @param options - What to start.
+	 * @returns The running fleet; nothing is left behind when the start fails.
+	 */
+	static async start(options: Partial<FleetOptions> & Pick<FleetOptions, 'services'>): Promise<Fleet> {
+		const fleet = new Fleet({...defaultFleetOptions, ...options});
+		try {
+			await fleet.#start();
+			return fleet;
+		} catch (error) {
+			await fleet.stop();
+			throw error;
+		}
+	}
+
+	readonly directory = fs.mkdtempSync(path.join(os.tmpdir(), 'tanagerrail-fleet-'));
+	readonly entries = new Map<string, EntryProcess>();
+	readonly endpoints = new Map<string, FleetEndpoint>();
+	readonly mesh = new RelayMesh();
+	readonly table = new StandInTable();
+	readonly objects = new StandInObjectStore();
+	readonly #hostLists = new Map<string, StandInHostList>();
+	readonly #ports = new Map<string, EntryPorts>();
+	readonly #leavingEntries = new Set<string>();
+
+	private constructor(readonly options: FleetOptions) {}
+
+	/** The configuration that the entries start with. */
+	get configuration(): Configuration {
+		const {services, configuration} = this.options;
+		return {...defaultFleetConfiguration, ...configuration, services: services.map(service => service.configuration)};
+	}
+
+	/**
+	 * Changes what the host lists say about a process.
+	 *
+	 * @param id - Id of an entry or endpoint.
+	 * @param isLeaving - Whether it is listed as leaving.
+	 */
+	setLeaving(id: string, isLeaving: boolean): void {
+		const endpoint = this.endpoints.get(id);
+		if (endpoint) {
+			endpoint.isLeaving = isLeaving;
+		} else {
+			this.#leavingEntries[isLeaving ? 'add' : 'delete'](id);
+		}
+
+		this.#publishHosts();
+	}
+
+	/**
+	 * Makes the host list unavailable or available again for all entries.
+	 *
+	 * @param isDown - Whether reads fail.
+	 */
+	setListDown(isDown: boolean): void {
+		for (const list of this.#hostLists.values()) {
+			list.setDown(isDown);
+		}
+	}
+
+	/**
+	 * Reads the log lines of an entry.
+	 *
+	 * @param id - Id of the entry.
+	 * @returns Parsed lines of all its runs; lines that are not JSON are returned as `{event: 'unparsed', text}`.
+	 */
+	readLog(id: string): Array<Readonly<Record<string, unknown>>> {
+		const file = path.join(this.directory, `${id}.log`);
+		const text = fs.existsSync(file) ? fs.readFileSync(file, 'utf8') : '';
+		return text.split('\n').filter(Boolean).map(line => parseLine(line));
+	}
+
+	/** Stops everything at once and removes the directory. */
+	async stop(): Promise<void> {
+		const processes = [...this.entries.values()].map(entry => entry.process);
+		for (const child of processes) {
+			child.kill();
+		}
+
+		await Promise.all(processes.map(async child => child.waitExit()));
+		for (const endpoint of this.endpoints.values()) {
+			endpoint.standIn.stop();
+		}
+
+		for (const list of this.#hostLists.values()) {
+			list.stop();
+		}
+
+		if (this.options.hasPlatform) {
+			this.table.stop();
+			this.objects.stop();
+		}
+
+		this.mesh.stop();
+		fs.rmSync(this.directory, {recursive: true, force: true});
+	}
+
+	async #start(): Promise<void> {
+		const {entries, listLagMilliseconds, hasPlatform} = this.options;
+		const configurationFile = path.join(this.directory, 'configuration.json');
+		fs.writeFileSync(configurationFile, JSON.stringify(this.configuration));
+		const platform: Record<string, PlatformUrls> = hasPlatform
+			? {table: await this.table.start(), objects: await this.objects.start()}
+			: {};
+		await this.#startEndpoints();
+		const ports = await pickPorts(entries * 3);
+		for (let i = 0; i < entries; i++) {
+			this.#ports.set(`entry-${i}`, {callers: ports[3 * i]!, peers: ports[(3 * i) + 1]!, admin: ports[(3 * i) + 2]!});
+		}
+
+		await Promise.all([...this.#ports.keys()].map(async id => this.#addRelays(id, platform)));
+		const urls = new Map<string, string>();
+		for (const id of this.#ports.keys()) {
+			const list = new StandInHostList({lagMilliseconds: listLagMilliseconds});
+			this.#hostLists.set(id, list);
+			urls.set(id, await list.start());
+		}
+
+		// The list must be complete before the first entry reads it, or allocators start with a part of the fleet.
+		this.#publishHosts();
+		await waitMilliseconds(listLagMilliseconds + 10);
+		for (const [id, entryPorts] of this.#ports) {
+			this.entries.set(id, new EntryProcess({
+				id,
+				failureDomain: this.#getFailureDomain(Number(id.split('-')[1])),
+				ports: entryPorts,
+				hostListUrl: urls.get(id)!,
+				configurationFile,
+				directory: this.directory,
+				settings: this.#buildSettings(id, platform),
+				script: this.options.entryScript,
+			}));
+		}
+
+		await Promise.all([...this.entries.values()].map(async entry => entry.waitReady()));
+	}
+
+	async #startEndpoints(): Promise<void> {
+		for (const {configuration, endpoints, behaviour = {}} of this.options.services) {
+			for (let i = 0; i < endpoints; i++) {
+				const endpoint = new FleetEndpoint({
+					id: `${configuration.name}-${i}`,
+					service: configuration.name,
+					failureDomain: this.#getFailureDomain(i),
+					behaviour: {slots: configuration.slotsPerEndpoint, ...behaviour},
+				});
+				await endpoint.start();
+				this.endpoints.set(endpoint.id, endpoint);
+			}
+		}
+	}
+
+	async #addRelays(id: string, platform: Readonly<Record<string, {readonly url: string}>>): Promise<void> {
+		if (!this.options.hasRelays) {
+			return;
+		}
+
+		const targets: Array<[string, string]> = [
+			...[...this.endpoints.values()].map((endpoint): [string, string] => [endpoint.id, endpoint.address]),
+			...[...this.#ports].filter(([peer]) => peer !== id).map(([peer, {peers}]): [string, string] => [peer, `127.0.0.1:${peers}`]),
+			...Object.entries(platform).map(([name, {url}]): [string, string] => [name, new URL(url).host]),
+		];
+		await Promise.all(targets.map(async ([to, address]) => this.mesh.add(id, to, address)));
+	}
+
+	#buildSettings(id: string, platform: Readonly<Record<string, {readonly url: string}>>): Record<string, unknown> {
+		const addresses = Object.entries(platform).map(([name, {url}]) => [name, {url: `http://${this.mesh.findAddress(id, name) ?? new URL(url).host}`}]);
+		return {...this.options.settings, platform: Object.fromEntries(addresses)};
+	}
+
+	#publishHosts(): void {
+		for (const [id, list] of this.#hostLists) {
+			list.update(this.#buildRows(id));
+		}
+	}
+
+	#buildRows(viewer: string): TargetGroup[] {
+		const endpoints = [...this.endpoints.values()].map(({id, address, isLeaving, options}): TargetGroup => ({
+			targets: [this.mesh.findAddress(viewer, id) ?? address],
+			labels: {
+				role: 'endpoint', id, service: options.service, state: isLeaving ? 'leaving' : 'live', failure_domain: options.failureDomain,
+			},
+		}));
+		const entries = [...this.#ports].map(([id, {callers, peers, admin}], i): TargetGroup => ({
+			targets: [`127.0.0.1:${callers}`],
+			labels: {
+				role: 'entry',
+				id,
+				state: this.#leavingEntries.has(id) ? 'leaving' : 'live',
+				failure_domain: this.#getFailureDomain(i),
+				peer: this.mesh.findAddress(viewer, id) ?? `127.0.0.1:${peers}`,
+				admin: `127.0.0.1:${admin}`,
+			},
+		}));
+		return [...endpoints, ...entries];
+	}
+
+	#getFailureDomain(i: number): string {
+		return `fd-${i % this.options.failureDomains}`;
+	}
+}
+
+function parseLine(line: string): Readonly<Record<string, unknown>> {
+	try {
+		return JSON.parse(line) as Readonly<Record<string, unknown>>;
+	} catch {
+		return {event: 'unparsed', text: line};
+	}
+}
--- /dev/null
+++ b/packages/bench/src/scenarios/run-scenario.ts
@@ -0,0 +1,70 @@
+import {setTimeout as waitMilliseconds} from 'node:timers/promises';
+import {buildScenarioService} from './build-scenario-service.js';
+import {Fleet} from './fleet.js';
+import type {Scenario, ScenarioStep} from './parse-scenario.js';
+import {ScenarioError} from './scenario-error.js';
+import {ScenarioWorld} from './scenario-world.js';
+import {stepKinds} from './steps/index.js';
+
+/** Options of {@link runScenario}. */
+export type RunScenarioOptions = {
+	/** Script of the entry processes in place of the product's; tests use it to switch a mechanism off. */
+	readonly entryScript?: string;
+};
+
+/**
+ * Runs a scenario on processes of its own.
+ *
+ * @param scenario - The scenario.
+ * @param options - Variant of the entry processes.
+ * @throws ScenarioError `scenario-failed` with file and line of the step that did not hold.
+ */
+export async function runScenario(scenario: Scenario, {entryScript}: RunScenarioOptions = {}): Promise<void> {
+	const fleet = await Fleet.start({
+		entries: scenario.entries,
+		failureDomains: scenario.failureDomains,
+		services: Object.entries(scenario.services).map(([name, service]) => ({
+			configuration: buildScenarioService(name, service), endpoints: service.endpoints,
+		})),
+		hasPlatform: scenario.platform,
+		listLagMilliseconds: scenario.listLag,
+		settings: {shutdown: {lameDuckMilliseconds: scenario.lameDuck, shutdownMilliseconds: 10_000}},
+		entryScript,
+	});
+	const world = new ScenarioWorld(scenario, fleet);
+	try {
+		await runSteps(scenario, world);
+	} finally {
+		await world.caller.stop();
+		await fleet.stop();
+	}
+}
+
+async function runSteps(scenario: Scenario, world: ScenarioWorld): Promise<void> {
+	const end = performance.now() + scenario.timeout;
+	for (const step of scenario.steps) {
+		await runStep(step, world, end - performance.now());
+	}
+}
+
+async function runStep({kind, value, position}: ScenarioStep, world: ScenarioWorld, milliseconds: number): Promise<void> {
+	const ended = new AbortController();
+	try {
+		await Promise.race([stepKinds[kind].run(value, world), expireScenario(milliseconds, ended.signal)]);
+	} catch (error) {
+		throw new ScenarioError('scenario-failed', position, `${kind}: ${(error as Error).message}`);
+	} finally {
+		ended.abort();
+	}
+}
+
+async function expireScenario(milliseconds: number, signal: AbortSignal): Promise<void> {
+	try {
+		await waitMilliseconds(Math.max(0, milliseconds), undefined, {signal});
+	} catch {
+		// The step ended in time.
+		return;
+	}
+
+	throw new Error('the time limit of the scenario has passed');
+}
--- /dev/null
+++ b/packages/bench/src/scenarios/steps/process-steps.ts
@@ -0,0 +1,52 @@
+import {z} from 'zod';
+import {getEndpoint, getEntry} from './find-process.js';
+import {createStep} from './step-handler.js';
+
+const processId = z.string().regex(/^[\w\-]+$/v);
+
+/** Steps that start and end processes. */
+export const processSteps = {
+	start: createStep(processId, async (id, {fleet}) => {
+		const endpoint = fleet.endpoints.get(id);
+		if (endpoint) {
+			await endpoint.start();
+			return;
+		}
+
+		const entry = getEntry(fleet, id);
+		entry.restart();
+		await entry.waitReady();
+	}),
+	kill: createStep(processId, async (id, {fleet}) => {
+		const endpoint = fleet.endpoints.get(id);
+		if (endpoint) {
+			endpoint.kill();
+			return;
+		}
+
+		const entry = getEntry(fleet, id);
+		entry.process.kill();
+		await entry.process.waitExit();
+	}),
+	freeze: createStep(processId, (id, {fleet}) => {
+		getEntry(fleet, id).process.freeze();
+	}),
+	resume: createStep(processId, (id, {fleet}) => {
+		getEntry(fleet, id).process.resume();
+	}),
+	/** Asks an entry for a graceful shutdown; the step does not wait for its end. */
+	stop: createStep(processId, (id, {fleet}) => {
+		getEntry(fleet, id).process.requestStop();
+	}),
+	/** Makes an endpoint announce that it is leaving, in its responses, in the host list, or in both. */
+	drain: createStep(z.strictObject({endpoint: processId, notice: z.enum(['response', 'list', 'both']).default('both')}), ({endpoint, notice}, {fleet}) => {
+		const {standIn} = getEndpoint(fleet, endpoint);
+		if (notice !== 'list') {
+			standIn.update({isDraining: true});
+		}
+
+		if (notice !== 'response') {
+			fleet.setLeaving(endpoint, true);
+		}
+	}),
+} as const;
--- a/packages/bench/src/testbed/entry-process.ts
+++ b/packages/bench/src/testbed/entry-process.ts
@@ -21,6 +21,8 @@
 	readonly directory: string;
 	/** Sections of the settings file that replace the generated ones. */
 	readonly settings: Readonly<Record<string, unknown>>;
+	/** Script that runs in place of the product's; tests use it to switch a mechanism off. */
+	readonly script?: string;
 };
 
 /** One `tanagerrail entry` process. */
@@ -74,11 +76,11 @@
 }
 
 function spawnEntry(options: EntryProcessOptions): ManagedProcess {
-	const {id, directory} = options;
+	const {id, directory, script = mainScript} = options;
 	const settingsFile = path.join(directory, `${id}.yaml`);
 	fs.writeFileSync(settingsFile, stringify(buildSettings(options)));
 	return new ManagedProcess({
-		name: id, args: [mainScript, 'entry', '--settings', settingsFile], logFile: path.join(directory, `${id}.log`),
+		name: id, args: [script, 'entry', '--settings', settingsFile], logFile: path.join(directory, `${id}.log`),
 	});
 }
 
--- a/packages/bench/src/testbed/managed-process.ts
+++ b/packages/bench/src/testbed/managed-process.ts
@@ -46,6 +46,11 @@
 		return this.#child.exitCode === null && this.#child.signalCode === null;
 	}
 
+	/** Exit code; nothing while the process runs or when a signal ended it. */
+	get exitCode(): number | undefined {
+		return this.#child.exitCode ?? undefined;
+	}
+
 	/** Standard output as text, in pieces. */
 	get output(): AsyncIterable<string> {
 		return this.#child.stdout!.setEncoding('utf8') as AsyncIterable<string>;
--- a/packages/results/src/result-codes.ts
+++ b/packages/results/src/result-codes.ts
@@ -146,6 +146,12 @@
 	'usage-invalid': {
 		number: 7004, status: 400, outcome: Outcome.notRun, message: 'The command line is invalid: {reason}.',
 	},
+	'scenario-invalid': {
+		number: 7050, status: 400, outcome: Outcome.notRun, message: '{file}:{line}: {reason}.',
+	},
+	'scenario-failed': {
+		number: 7051, status: 500, outcome: Outcome.unknown, message: '{file}:{line}: {reason}.',
+	},
 	'peer-unreachable': {
 		number: 8001, status: 503, outcome: Outcome.notRun, message: 'Peer {host} cannot be reached: {reason}.',
 	},
--- a/packages/stand-ins/src/endpoint-request.ts
+++ b/packages/stand-ins/src/endpoint-request.ts
@@ -11,6 +11,9 @@
 /** Request header with the time over which the response body is spread, in milliseconds. */
 export const bodyDurationHeader = 'stand-in-body-milliseconds';
 
+/** Request header with the caller's own id of one sending of a request. */
+export const requestIdHeader = 'stand-in-request';
+
 /** A request that an endpoint has received in full. */
 export type EndpointRequest = {
 	readonly req: IncomingMessage;
@@ -38,11 +41,13 @@
 
 	const body = Buffer.concat(chunks);
 	const key = req.headers['idempotency-key'];
+	const requestId = req.headers[requestIdHeader];
 	const timeout = req.headers['request-timeout'];
 	const run: EndpointRun = {
 		method: req.method ?? '',
 		target: req.url ?? '',
 		key: typeof key === 'string' ? key : undefined,
+		requestId: typeof requestId === 'string' ? requestId : undefined,
 		bodyHash: createHash('sha256').update(body).digest('hex'),
 		timeout: timeout === undefined ? undefined : Number(timeout),
 		receivedAt,
--- a/packages/stand-ins/src/endpoint-run-log.ts
+++ b/packages/stand-ins/src/endpoint-run-log.ts
@@ -12,6 +12,8 @@
 	readonly target: string;
 	/** Value of `Idempotency-Key`. */
 	readonly key: string | undefined;
+	/** Value of `Stand-In-Request`, by which a caller tells its resends apart. */
+	readonly requestId: string | undefined;
 	/** SHA-256 of the body in hexadecimal. */
 	readonly bodyHash: string;
 	/** Value of `Request-Timeout` in milliseconds. */
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -7,4 +7,6 @@
 export * from './tcp-relay.js';
 export type {PlatformCounts, PlatformUrls} from './platform-server.js';
 export {RunEnd, type EndpointRun} from './endpoint-run-log.js';
-export {bodyDurationHeader, durationHeader, lengthHeader} from './endpoint-request.js';
+export {
+	bodyDurationHeader, durationHeader, lengthHeader, requestIdHeader,
+} from './endpoint-request.js';
