feat(bench): cover endpoint, allocator and link failures by scenarios

A relay whose target is down accepted connections and reset them, which the product rightly took for a crash caused by the request: 4 of 30 unrelated reads were quarantined.

--- a/packages/bench/src/scenarios/index.ts
+++ b/packages/bench/src/scenarios/index.ts
@@ -1,4 +1,5 @@
 export * from './caller.js';
+export * from './entry-balancer.js';
 export * from './find-inconsistencies.js';
 export * from './fleet.js';
 export * from './parse-scenario.js';
--- a/packages/bench/src/scenarios/steps/find-process.ts
+++ b/packages/bench/src/scenarios/steps/find-process.ts
@@ -1,17 +1,32 @@
+import {rankHosts} from '@tanagerrail/membership';
 import type {EntryProcess} from '../../testbed/index.js';
 import type {FleetEndpoint} from '../fleet-endpoint.js';
 import type {Fleet} from '../fleet.js';
 
+const rankWords = ['first', 'second', 'third'];
+
 /**
  * Finds an entry.
  *
  * @param fleet - The fleet.
- * @param id - `entry-N`.
+ * @param id - `entry-N`, or `first-of-SERVICE`, `second-of-SERVICE` or `third-of-SERVICE` by rank for its allocator.
+ * @returns The entry, or nothing.
+ */
+export function findEntry(fleet: Fleet, id: string): EntryProcess | undefined {
+	const [, word, service = ''] = /^(first|second|third)-of-(.+)$/v.exec(id) ?? [];
+	return fleet.entries.get(word === undefined ? id : rankHosts(service, [...fleet.entries.keys()])[rankWords.indexOf(word)] ?? '');
+}
+
+/**
+ * Finds an entry that must exist.
+ *
+ * @param fleet - The fleet.
+ * @param id - As for {@link findEntry}.
  * @returns The entry.
  * @throws Error when there is none.
  */
 export function getEntry(fleet: Fleet, id: string): EntryProcess {
-	const entry = fleet.entries.get(id);
+	const entry = findEntry(fleet, id);
 	if (!entry) {
 		throw new Error(`found ${id}, expected one of ${[...fleet.entries.keys()].join(', ')}`);
 	}
--- a/packages/stand-ins/src/tcp-relay.ts
+++ b/packages/stand-ins/src/tcp-relay.ts
@@ -1,6 +1,9 @@
 import {
 	connect, createServer, type Server, type Socket,
 } from 'node:net';
+import {setTimeout as waitMilliseconds} from 'node:timers/promises';
+
+const checkMilliseconds = 20;
 
 /** Directions of a relay: `forward` is from the side that opened the connection, `back` is toward it. */
 export const RelayDirection = {forward: 'forward', back: 'back', both: 'both'} as const;
@@ -22,7 +25,10 @@
 	readonly #target: {readonly host: string; readonly port: number};
 	readonly #pairs = new Set<Pair>();
 	readonly #silenced = new Set<RelayDirection>();
+	#port = 0;
 	#isRefusing = false;
+	#isStopped = false;
+	#isChecking = false;
 
 	/**
 	 * @param target - `ip:port` of the process behind the relay.
@@ -47,16 +53,14 @@
 	 * @returns `ip:port` of the relay.
 	 */
 	async start(port = 0): Promise<string> {
-		await new Promise<void>((resolve, reject) => {
-			this.#server.once('error', reject);
-			this.#server.listen(port, '127.0.0.1', resolve);
-		});
+		await this.#listen(port);
 		const address = this.#server.address();
-		return `127.0.0.1:${typeof address === 'object' && address ? address.port : port}`;
+		this.#port = typeof address === 'object' && address ? address.port : port;
+		return `127.0.0.1:${this.#port}`;
 	}
 
 	/**
-	 * Cuts the connection between the two sides until {@link restore}.
+	 * Cuts the connection between the two sides until {@link TcpRelay.restore}.
 	 *
 	 * @param cut - `silent` also accepts new connections and discards their bytes; `reset` breaks open connections and refuses new ones.
 	 * @param direction - Direction in which bytes vanish; a reset always affects both.
@@ -64,6 +68,7 @@
 	disconnect(cut: RelayCut = RelayCut.silent, direction: RelayDirection = RelayDirection.both): void {
 		if (cut === RelayCut.reset) {
 			this.#isRefusing = true;
+			this.#server.close();
 			this.reset();
 			return;
 		}
@@ -79,13 +84,16 @@
 	}
 
 	/** Ends all cuts. Connections that lost bytes are broken, because their streams can no longer be continued. */
-	restore(): void {
+	async restore(): Promise<void> {
 		if (this.#silenced.size > 0) {
 			this.reset();
 		}
 
-		this.#isRefusing = false;
 		this.#silenced.clear();
+		if (this.#isRefusing) {
+			this.#isRefusing = false;
+			await this.#listen(this.#port);
+		}
 	}
 
 	/** Breaks all open connections with a reset. */
@@ -100,21 +108,68 @@
 
 	/** Stops at once. */
 	stop(): void {
+		this.#isStopped = true;
 		this.reset();
 		this.#server.close();
 	}
 
-	#accept(outer: Socket): void {
-		if (this.#isRefusing) {
-			outer.resetAndDestroy();
+	async #listen(port: number): Promise<void> {
+		if (this.#server.listening || this.#isStopped || this.#isRefusing) {
 			return;
 		}
 
+		await new Promise<void>((resolve, reject) => {
+			this.#server.once('error', reject);
+			this.#server.listen(port, '127.0.0.1', () => {
+				this.#server.off('error', reject);
+				resolve();
+			});
+		});
+	}
+
+	/**
+	 * Stops listening while the process behind the relay does not, so that its clients see refused connections and not
+	 * connections that open and break.
+	 */
+	async #checkTarget(): Promise<void> {
+		if (this.#isChecking) {
+			return;
+		}
+
+		this.#isChecking = true;
+		while (!this.#isStopped && !await this.#isTargetListening()) {
+			this.#server.close();
+			await waitMilliseconds(checkMilliseconds, undefined, {ref: false});
+		}
+
+		await this.#listen(this.#port);
+		this.#isChecking = false;
+	}
+
+	async #isTargetListening(): Promise<boolean> {
+		return new Promise(resolve => {
+			const socket = connect(this.#target);
+			socket.once('connect', () => {
+				socket.destroy();
+				resolve(true);
+			});
+			socket.once('error', () => {
+				resolve(false);
+			});
+		});
+	}
+
+	#accept(outer: Socket): void {
 		const inner = connect({...this.#target, allowHalfOpen: true});
 		const pair: Pair = {outer, inner, silenced: new Set()};
 		outer.setNoDelay(true);
 		inner.setNoDelay(true);
 		this.#pairs.add(pair);
+		inner.once('close', () => {
+			if (this.#pairs.has(pair)) {
+				void this.#checkTarget();
+			}
+		});
 		this.#forward(pair, RelayDirection.forward);
 		this.#forward(pair, RelayDirection.back);
 	}
