--- a/packages/measuring/src/index.ts
+++ b/packages/measuring/src/index.ts
@@ -1,1 +1,10 @@
-export {};
+export * from './class-report.js';
+export * from './level-recorder.js';
+export * from './level-report.js';
+export * from './level-snapshot.js';
+export * from './load-prober.js';
+export * from './load-report.js';
+export * from './measuring-meter.js';
+export * from './snapshot-store.js';
+export * from './snapshot-writer.js';
+export * from './token-bucket.js';
--- /dev/null
+++ b/packages/measuring/src/level-recorder.ts
@@ -0,0 +1,209 @@
+import {
+	type Configuration, type ServiceConfiguration, type WorkClass, WorkKind,
+} from '@tanagerrail/configuration';
+import {recordLatency, type ClassWindow} from './class-window.js';
+import type {LevelSnapshot, StoredClass, StoredCost} from './level-snapshot.js';
+import type {MeasuringCost} from './measuring-meter.js';
+import {WindowTier, windowTiers} from './window-tier.js';
+
+/** End of a caller's request. */
+export type LevelRecord = {
+	readonly service: string;
+	readonly workClass: string;
+	/** Time from arrival to the end of the response, in milliseconds. */
+	readonly milliseconds: number;
+	readonly status: number;
+	/** Number of the result code of a refusal; nothing for a response of an endpoint. */
+	readonly code: number | undefined;
+	/** Time spent waiting for a slot, in milliseconds. */
+	readonly waitMilliseconds: number;
+};
+
+/** Options of {@link LevelRecorder}. */
+export type LevelRecorderOptions = {
+	readonly hostId: string;
+	readonly incarnation: string;
+	/** Milliseconds since the epoch; windows of different hosts are merged by this time. */
+	readonly now: () => number;
+	readonly getConfiguration: () => Configuration | undefined;
+};
+
+/** Days of the budget window of a class without a promised level. */
+const defaultWindowDays = 30;
+
+/** Status from which a response is a fault of the service and not of the caller. */
+const firstServerError = 500;
+
+type Promised = Pick<StoredClass, 'latencyMilliseconds' | 'objective' | 'windowDays'>;
+type ClassTiers = {readonly fine: WindowTier; readonly medium: WindowTier; readonly coarse: WindowTier};
+type ServiceCounts = {readonly classes: Map<string, ClassTiers>; costs: StoredCost[]; longWorkUntil: number};
+
+/** Counts of good, bad and refused requests and their latencies on one host, by service and work class. */
+export class LevelRecorder {
+	readonly #options: LevelRecorderOptions;
+	readonly #services = new Map<string, ServiceCounts>();
+	readonly #startedAt: number;
+
+	constructor(options: Partial<LevelRecorderOptions> & Omit<LevelRecorderOptions, 'now'>) {
+		this.#options = {now: Date.now, ...options};
+		this.#startedAt = this.#options.now();
+	}
+
+	/**
+	 * Records the end of a request.
+	 *
+	 * @param record - How it ended.
+	 */
+	record(record: LevelRecord): void {
+		const service = this.#options.getConfiguration()?.services.find(({name}) => name === record.service);
+		const workClass = service?.workClasses.find(({name}) => name === record.workClass);
+		if (!service || !workClass) {
+			return;
+		}
+
+		const now = this.#options.now();
+		const counts = this.#getService(service.name);
+		const verdict = decideRecord(record, findPromised(service, workClass));
+		const tiers = getTiers(counts, workClass.name);
+		for (const name of ['fine', 'medium', 'coarse'] as const) {
+			const window = tiers[name].get(now);
+			updateWindow(window, record, verdict);
+			window.hasLongWork ||= counts.longWorkUntil >= Math.floor(now / windowTiers[name].length) * windowTiers[name].length;
+		}
+
+		if (workClass.kind === WorkKind.long) {
+			this.#markLongWork(counts, now - record.milliseconds, now);
+		}
+	}
+
+	/**
+	 * Records what measuring cost in one second.
+	 *
+	 * @param service - Name of the service.
+	 * @param cost - The cost.
+	 */
+	recordCost(service: string, {messages, bytes, processorMilliseconds}: MeasuringCost): void {
+		const now = this.#options.now();
+		const counts = this.#getService(service);
+		const {length, kept} = windowTiers.fine;
+		const start = Math.floor(now / length) * length;
+		const last = counts.costs.at(-1);
+		const former = last?.start === start
+			? counts.costs.pop()!
+			: {
+				start, messages: 0, bytes: 0, processorMilliseconds: 0, peakMessages: 0, peakBytes: 0,
+			};
+		counts.costs = counts.costs.filter(entry => entry.start >= now - kept);
+		counts.costs.push({
+			start,
+			messages: former.messages + messages,
+			bytes: former.bytes + bytes,
+			processorMilliseconds: former.processorMilliseconds + processorMilliseconds,
+			peakMessages: Math.max(former.peakMessages, messages),
+			peakBytes: Math.max(former.peakBytes, bytes),
+		});
+	}
+
+	/**
+	 * Takes a snapshot of all counts that are kept.
+	 *
+	 * @param isFinal - Whether the process records nothing after it.
+	 * @returns The snapshot.
+	 */
+	takeSnapshot(isFinal = false): LevelSnapshot {
+		const {hostId, incarnation, now, getConfiguration} = this.#options;
+		const at = now();
+		const configuration = getConfiguration();
+		return {
+			format: 1,
+			hostId,
+			incarnation,
+			startedAt: this.#startedAt,
+			at,
+			isFinal,
+			services: (configuration?.services ?? []).map(service => ({
+				name: service.name,
+				probesPerSecond: configuration!.measuring.probesPerSecond,
+				bytesPerSecond: configuration!.measuring.bytesPerSecond,
+				costs: this.#getService(service.name).costs,
+				classes: service.workClasses.map(workClass => this.#encodeClass(service, workClass, at)),
+			})),
+		};
+	}
+
+	#encodeClass(service: ServiceConfiguration, workClass: WorkClass, at: number): StoredClass {
+		const tiers = getTiers(this.#getService(service.name), workClass.name);
+		return {
+			name: workClass.name,
+			kind: workClass.kind,
+			...findPromised(service, workClass),
+			fine: tiers.fine.list(at),
+			medium: tiers.medium.list(at),
+			coarse: tiers.coarse.list(at),
+		};
+	}
+
+	#markLongWork(counts: ServiceCounts, from: number, to: number): void {
+		counts.longWorkUntil = Math.max(counts.longWorkUntil, to);
+		for (const tiers of counts.classes.values()) {
+			tiers.fine.markLongWork(from, to);
+			tiers.medium.markLongWork(from, to);
+			tiers.coarse.markLongWork(from, to);
+		}
+	}
+
+	#getService(name: string): ServiceCounts {
+		const known = this.#services.get(name);
+		if (known) {
+			return known;
+		}
+
+		const counts: ServiceCounts = {classes: new Map(), costs: [], longWorkUntil: -Infinity};
+		this.#services.set(name, counts);
+		return counts;
+	}
+}
+
+function getTiers(counts: ServiceCounts, workClass: string): ClassTiers {
+	const known = counts.classes.get(workClass);
+	if (known) {
+		return known;
+	}
+
+	const tiers = {fine: new WindowTier('fine'), medium: new WindowTier('medium'), coarse: new WindowTier('coarse')};
+	counts.classes.set(workClass, tiers);
+	return tiers;
+}
+
+function findPromised(service: ServiceConfiguration, {name, deadlineMilliseconds}: WorkClass): Promised {
+	const level = service.serviceLevels.find(({workClass}) => workClass === name);
+	return {
+		latencyMilliseconds: level?.latencyMilliseconds ?? deadlineMilliseconds,
+		windowDays: level?.windowDays ?? defaultWindowDays,
+		...(level && {objective: level.objective}),
+	};
+}
+
+/** A response of an endpoint below 500 is good in time; refusals and disconnections caused by the caller count for neither. */
+function decideRecord({status, code, milliseconds}: LevelRecord, {latencyMilliseconds}: Promised): 'good' | 'bad' | 'excluded' {
+	if (status >= firstServerError) {
+		return 'bad';
+	}
+
+	if (code !== undefined) {
+		return 'excluded';
+	}
+
+	return milliseconds <= latencyMilliseconds ? 'good' : 'bad';
+}
+
+function updateWindow(window: ClassWindow, {code, milliseconds, waitMilliseconds}: LevelRecord, verdict: 'good' | 'bad' | 'excluded'): void {
+	window[verdict] += 1;
+	window.waitMilliseconds += waitMilliseconds;
+	if (code === undefined) {
+		recordLatency(window, milliseconds);
+		return;
+	}
+
+	window.refused[code] = (window.refused[code] ?? 0) + 1;
+}
--- /dev/null
+++ b/packages/measuring/src/snapshot-store.ts
@@ -0,0 +1,75 @@
+import {promisify} from 'node:util';
+import {gunzip, gzip} from 'node:zlib';
+import {
+	err, ok, ResultAsync, type Result,
+} from 'neverthrow';
+import type {ObjectStore} from '@tanagerrail/platform';
+import {createFailure, type Failure} from '@tanagerrail/results';
+import {createLogger, LogLevel} from '@tanagerrail/telemetry';
+import {levelSnapshotSchema, type LevelSnapshot} from './level-snapshot.js';
+
+const logger = createLogger('measuring');
+const pack = promisify(gzip);
+const unpack = promisify(gunzip);
+
+/** Prefix of the keys of snapshots in the object store. */
+export const snapshotPrefix = 'reports/';
+
+/** Snapshots of service-level counts in the object store, one object for each incarnation. */
+export class SnapshotStore {
+	readonly #objects: ObjectStore;
+
+	constructor(objects: ObjectStore) {
+		this.#objects = objects;
+	}
+
+	/**
+	 * Writes a snapshot in place of the former one of the same incarnation.
+	 *
+	 * @param snapshot - The counts; stored as gzip-compressed JSON.
+	 * @returns Nothing, or `object-unavailable`.
+	 */
+	write(snapshot: LevelSnapshot): ResultAsync<void, Failure> {
+		return ResultAsync.fromSafePromise(pack(JSON.stringify(snapshot)))
+			.andThen(body => this.#objects.put(`${snapshotPrefix}${snapshot.incarnation}`, body));
+	}
+
+	/**
+	 * Reads all snapshots. One that cannot be read is logged and left out.
+	 *
+	 * @returns The snapshots and the keys that could not be read, or `object-unavailable`.
+	 */
+	readAll(): ResultAsync<{readonly snapshots: LevelSnapshot[]; readonly unreadable: string[]}, Failure> {
+		return this.#objects.list(snapshotPrefix).andThen(keys => ResultAsync.fromSafePromise(this.#readKeys(keys)));
+	}
+
+	async #readKeys(keys: readonly string[]): Promise<{snapshots: LevelSnapshot[]; unreadable: string[]}> {
+		const snapshots: LevelSnapshot[] = [];
+		const unreadable: string[] = [];
+		for (const key of keys) {
+			const snapshot = await this.#read(key);
+			if (snapshot.isErr()) {
+				logger.logFailure(LogLevel.warn, 'snapshot-unreadable', snapshot.error, {key});
+				unreadable.push(key);
+				continue;
+			}
+
+			snapshots.push(snapshot.value);
+		}
+
+		return {snapshots, unreadable};
+	}
+
+	async #read(key: string): Promise<Result<LevelSnapshot, Failure>> {
+		const body = await this.#objects.get(key);
+		if (body.isErr()) {
+			return err(body.error);
+		}
+
+		try {
+			return ok(levelSnapshotSchema.parse(JSON.parse(String(await unpack(body.value)))));
+		} catch (error) {
+			return err(createFailure('snapshot-malformed', {key, reason: (error as Error).name}));
+		}
+	}
+}
--- a/packages/results/src/result-codes.ts
+++ b/packages/results/src/result-codes.ts
@@ -134,6 +134,9 @@
 	'host-list-unavailable': {
 		number: 6007, status: 503, outcome: Outcome.notRun, message: 'The host list cannot be read: {reason}.',
 	},
+	'snapshot-malformed': {
+		number: 6008, status: 500, outcome: Outcome.unknown, message: 'Snapshot {key} of service-level counts cannot be decoded: {reason}.',
+	},
 	'settings-invalid': {
 		number: 7001, status: 400, outcome: Outcome.notRun, message: '{file}:{line}: {field}: found {found}, expected {expected}.',
 	},
--- a/packages/telemetry/src/log-messages.ts
+++ b/packages/telemetry/src/log-messages.ts
@@ -23,6 +23,7 @@
 	'claim-removal-failed': 'A claim that is not needed cannot be removed yet.',
 	'outcome-write-failed': 'The outcome of a claim cannot be written yet.',
 	'snapshot-write-failed': 'Service-level counts cannot be written to the object store.',
+	'snapshot-unreadable': 'A snapshot of service-level counts cannot be read; the report leaves it out.',
 	'invariant-violated': 'An invariant does not hold.',
 	'internal-error': 'An unexpected error occurred.',
 	'tls-reloaded': 'Certificate and key files were read again.',
