--- a/packages/cli/src/entry-host.ts
+++ b/packages/cli/src/entry-host.ts
@@ -9,12 +9,13 @@
 import {CallerListener, EndpointConnections, type RequestContext} from '@tanagerrail/http';
 import {HostDirectory, PauseDetector} from '@tanagerrail/membership';
 import {AllocatorRegistry, SlotRouter, SlotServer} from '@tanagerrail/peers';
-import {createHttpHostList} from '@tanagerrail/platform';
+import {createHttpHostList, createS3Objects, type ObjectStore} from '@tanagerrail/platform';
 import {createFailure} from '@tanagerrail/results';
 import {RetryBudget} from '@tanagerrail/routing';
 import {
 	createLogger, createMetrics, LogLevel, readMonotonicClock, setCommonLogFields, setLogFilter,
 } from '@tanagerrail/telemetry';
+import {HostLevels, levelsPath} from './host-levels.js';
 import type {Settings} from './settings.js';
 
 const logger = createLogger('host');
@@ -36,6 +37,8 @@
 		clock, connections: 200, connectTimeout: 250, idleTimeout: 30_000,
 	});
 
+	readonly #objects: ObjectStore | undefined;
+	readonly #levels: HostLevels;
 	readonly #peerServer: Server;
 	readonly #adminServer: Server;
 	readonly #pauseDetector: PauseDetector;
@@ -49,6 +52,10 @@
 		const {host, keys, platform, metrics} = settings;
 		setCommonLogFields({host: host.id, failureDomain: host.failureDomain});
 		setLogFilter(settings.log.filter);
+		this.#objects = platform.objects && createS3Objects(platform.objects);
+		this.#levels = new HostLevels({
+			hostId: host.id, incarnation: this.#incarnation, getConfiguration: () => this.#configuration, objects: this.#objects, getAdminKeys: () => keys.admin,
+		});
 		const getRevision = () => this.#configuration?.revision ?? 0;
 		const onRevision = () => undefined;
 		this.#directory = new HostDirectory({hostList: createHttpHostList({url: platform.hostList.url}), clock});
@@ -100,6 +107,7 @@
 	async start(): Promise<EntryHostPorts> {
 		const {listen} = this.#settings;
 		this.#pauseDetector.start();
+		this.#levels.start();
 		await this.#directory.start();
 		const peers = await openListener(this.#peerServer, listen.peers);
 		const admin = await openListener(this.#adminServer, listen.admin);
@@ -129,6 +137,7 @@
 			}
 		}
 
+		await this.#levels.stop();
 		logger.log(LogLevel.info, 'host-stopped', {cutOff: this.#listener.inProgress});
 		this.#close();
 	}
@@ -141,6 +150,7 @@
 		this.#directory.stop();
 		this.#pauseDetector.stop();
 		this.#connections.close();
+		this.#objects?.close();
 		this.#peerServer.close();
 		this.#adminServer.close();
 		this.#adminServer.closeAllConnections();
@@ -156,7 +166,9 @@
 			metrics,
 			getConfiguration: () => this.#configuration,
 			getRetryBudget: service => this.#getRetryBudget(service),
-			record: () => undefined,
+			record: record => {
+				this.#levels.record(record);
+			},
 		};
 	}
 
@@ -190,6 +202,11 @@
 			return;
 		}
 
+		if (req.url === levelsPath) {
+			void this.#levels.serve(req, res);
+			return;
+		}
+
 		res.writeHead(404).end();
 	}
 }
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -4,6 +4,8 @@
 import {cac} from 'cac';
 import {parse} from 'yaml';
 import type {Configuration} from '@tanagerrail/configuration';
+import {formatFailure, resultCodes} from '@tanagerrail/results';
+import {runReportCommand, type ReportCommandOptions} from './commands/report-command.js';
 import {EntryHost, stopOnSignal} from './entry-host.js';
 import {settingsSchema} from './settings.js';
 
@@ -22,6 +24,18 @@
 		stopOnSignal(host);
 		await host.start();
 	});
+program
+	.command('report', 'Show service levels: burn, budget left, quality measures, refusals')
+	.option('--settings <file>', 'Settings file (YAML)')
+	.option('--json', 'Print JSON')
+	.option('--html <file>', 'Write a self-contained HTML page')
+	.action(async ({settings: file, ...options}: {settings: string} & ReportCommandOptions) => {
+		const result = await runReportCommand(settingsSchema.parse(parse(fs.readFileSync(file, 'utf8'))), options);
+		if (result.isErr()) {
+			process.stderr.write(`${resultCodes[result.error.id].number} ${formatFailure(result.error)}\n`);
+			process.exitCode = 1;
+		}
+	});
 program.help();
 
 async function runMain(): Promise<void> {
--- a/packages/measuring/src/class-report.ts
+++ b/packages/measuring/src/class-report.ts
@@ -44,7 +44,7 @@
 	readonly excluded: number;
 	readonly verdict: LevelVerdict;
 	readonly burn: readonly BurnPairReport[];
-	/** Share of the error budget left, and left if all requests of missing hosts were bad. */
+	/** Share of the error budget left, and left if all requests of missing hosts were bad; nothing when their time is not known. */
 	readonly budgetLeft: number | undefined;
 	readonly budgetLeftAtWorst: number | undefined;
 	/** Burn rates over 5 min and 1 h at each 5 min of the last six hours. */
@@ -88,7 +88,7 @@
 	const whole = mergeClassWindows(selectRecent(mergeTier(parts, 'coarse', now), now, windowDays * millisecondsInDay));
 	const recent = mergeClassWindows(fine);
 	const budgetLeft = objective === undefined ? undefined : computeBudgetLeft(whole, objective);
-	const budgetLeftAtWorst = objective === undefined ? undefined : computeBudgetLeft(addMissing(whole, medium, now, missing), objective);
+	const budgetLeftAtWorst = objective === undefined || !Number.isFinite(missing.milliseconds) ? undefined : computeBudgetLeft(addMissing(whole, medium, now, missing), objective);
 	return {
 		name,
 		kind,
@@ -149,7 +149,7 @@
 	const {good, bad} = sumRecent(medium, now, kept);
 	const period = Math.max(millisecondsInMinute, now - (medium[0]?.start ?? now));
 	const rate = (good + bad) / period / Math.max(1, countedHosts);
-	return {good: whole.good, bad: whole.bad + (rate === 0 ? 0 : Math.min(Number.MAX_SAFE_INTEGER, rate * milliseconds))};
+	return {good: whole.good, bad: whole.bad + (rate * milliseconds)};
 }
 
 function decideVerdict(objective: number | undefined, budgetLeft: number | undefined, atWorst: number | undefined): LevelVerdict {
@@ -157,15 +157,11 @@
 		return LevelVerdict.notPromised;
 	}
 
-	if (budgetLeft === undefined || atWorst === undefined) {
-		return LevelVerdict.unknown;
-	}
-
-	if (budgetLeft < 0) {
+	if (budgetLeft !== undefined && budgetLeft < 0) {
 		return LevelVerdict.broken;
 	}
 
-	return atWorst < 0 ? LevelVerdict.unknown : LevelVerdict.kept;
+	return atWorst === undefined || atWorst < 0 ? LevelVerdict.unknown : LevelVerdict.kept;
 }
 
 type BurnInput = {
--- a/packages/measuring/src/index.ts
+++ b/packages/measuring/src/index.ts
@@ -5,6 +5,7 @@
 export * from './load-prober.js';
 export * from './load-report.js';
 export * from './measuring-meter.js';
+export * from './snapshot-codec.js';
 export * from './snapshot-store.js';
 export * from './snapshot-writer.js';
 export * from './token-bucket.js';
--- a/packages/measuring/src/level-report.ts
+++ b/packages/measuring/src/level-report.ts
@@ -104,6 +104,7 @@
 
 function listMissing({counted, liveIncarnations, listedHostIds, now}: MissingInput): MissingHost[] {
 	const answered = new Set(counted.filter(({incarnation}) => liveIncarnations.has(incarnation)).map(({hostId}) => hostId));
+	// A listed host without an answer may be a new process after one that wrote its last snapshot, so it counts as missing.
 	const silent = listedHostIds.filter(hostId => !answered.has(hostId)).map(hostId => {
 		const since = counted.find(snapshot => snapshot.hostId === hostId)?.at;
 		return {
--- a/packages/measuring/src/snapshot-store.ts
+++ b/packages/measuring/src/snapshot-store.ts
@@ -1,16 +1,11 @@
-import {promisify} from 'node:util';
-import {gunzip, gzip} from 'node:zlib';
-import {
-	err, ok, ResultAsync, type Result,
-} from 'neverthrow';
+import {err, ResultAsync, type Result} from 'neverthrow';
 import type {ObjectStore} from '@tanagerrail/platform';
-import {createFailure, type Failure} from '@tanagerrail/results';
+import type {Failure} from '@tanagerrail/results';
 import {createLogger, LogLevel} from '@tanagerrail/telemetry';
-import {levelSnapshotSchema, type LevelSnapshot} from './level-snapshot.js';
+import type {LevelSnapshot} from './level-snapshot.js';
+import {decodeSnapshot, encodeSnapshot} from './snapshot-codec.js';
 
 const logger = createLogger('measuring');
-const pack = promisify(gzip);
-const unpack = promisify(gunzip);
 
 /** Prefix of the keys of snapshots in the object store. */
 export const snapshotPrefix = 'reports/';
@@ -30,7 +25,7 @@
 	 * @returns Nothing, or `object-unavailable`.
 	 */
 	write(snapshot: LevelSnapshot): ResultAsync<void, Failure> {
-		return ResultAsync.fromSafePromise(pack(JSON.stringify(snapshot)))
+		return ResultAsync.fromSafePromise(encodeSnapshot(snapshot))
 			.andThen(body => this.#objects.put(`${snapshotPrefix}${snapshot.incarnation}`, body));
 	}
 
@@ -62,14 +57,6 @@
 
 	async #read(key: string): Promise<Result<LevelSnapshot, Failure>> {
 		const body = await this.#objects.get(key);
-		if (body.isErr()) {
-			return err(body.error);
-		}
-
-		try {
-			return ok(levelSnapshotSchema.parse(JSON.parse(String(await unpack(body.value)))));
-		} catch (error) {
-			return err(createFailure('snapshot-malformed', {key, reason: (error as Error).name}));
-		}
+		return body.isErr() ? err(body.error) : decodeSnapshot(body.value, key);
 	}
 }
