feat(configuration): check answers, plan changes and accept revisions

Cause: hosts run on a generated configuration, but nothing read the answers, planned a change or recorded one.

Ruled out: checking contradictions only after the schema passes, because one wrong type would hide every contradiction; approval bounds relative to the last value, because repeated small steps would leave the bounds.

Change: answers schema with the line, expected value and hint of every mistake, a pure generator, plans with effects on queues and limits, approval rules with absolute bounds, revisions by compare-and-set that settle a lost response by token, and the keeper of the revision in force.

--- /dev/null
+++ b/packages/configuration/src/answers-manager.ts
@@ -0,0 +1,196 @@
+import {randomUUID} from 'node:crypto';
+import {
+	err, ok, ResultAsync, type Result,
+} from 'neverthrow';
+import {createFailure, type Failure} from '@tanagerrail/results';
+import type {AnswerProblem} from './answer-problem.js';
+import type {Answers} from './answers.js';
+import {extendRule, type ApprovalRule} from './approval-rule.js';
+import {parseAnswers} from './parse-answers.js';
+import {planChange, type Plan} from './plan-change.js';
+import type {RevisionRecord} from './revision-record.js';
+import type {RelatedApproval, RevisionStore} from './revision-store.js';
+
+/** A plan with the revision on which it is based. */
+export type BasedPlan = Plan & {
+	/** Revision that was current; 0 before the first. */
+	readonly base: number;
+};
+
+/** An operator's change. */
+export type ApplyRequest = {
+	/** Answers file (YAML). */
+	readonly answers: string;
+	/** Who applies it. */
+	readonly by: string;
+	/** Reason in the operator's words. */
+	readonly note: string;
+	/** Revision on which the change is based; without it the current one. */
+	readonly base?: number;
+	/** Kinds of changes that the operator approves. */
+	readonly approve: readonly string[];
+	/** Random id of the change; the same one when it is sent again. */
+	readonly token: string;
+};
+
+/** An accepted change with its plan. */
+export type AppliedChange = {readonly record: RevisionRecord; readonly plan: BasedPlan};
+
+/** A refused change, with what the operator needs to go on. */
+export type Refusal = {
+	readonly failure: Failure;
+	readonly problems?: readonly AnswerProblem[];
+	readonly plan?: BasedPlan;
+	/** The other operator's change, after a conflict: what it changed. */
+	readonly otherChange?: {readonly revision: number; readonly by: string; readonly at: string; readonly note: string; readonly changes: readonly string[]};
+};
+
+/** Options of {@link AnswersManager}. */
+export type AnswersManagerOptions = {
+	readonly store: RevisionStore;
+	/** Wall clock for the history, in milliseconds since the epoch. */
+	readonly now: () => number;
+};
+
+/** Plans and applies operators' changes. */
+export class AnswersManager {
+	readonly #store: RevisionStore;
+	readonly #now: () => number;
+
+	constructor({store, now = Date.now}: Partial<AnswersManagerOptions> & Pick<AnswersManagerOptions, 'store'>) {
+		this.#store = store;
+		this.#now = now;
+	}
+
+	/**
+	 * Plans a change against the current revision.
+	 *
+	 * @param text - Answers file (YAML).
+	 * @returns The plan, or `answers-invalid` with every problem, or a failure of the table service.
+	 */
+	plan(text: string): ResultAsync<BasedPlan, Refusal> {
+		return this.#prepare(text).map(({plan}) => plan);
+	}
+
+	/**
+	 * Applies a change: at most one change is accepted on each revision.
+	 *
+	 * @param request - The change.
+	 * @returns The accepted change, or a refusal: `answers-invalid`, `revision-conflict`, `approval-required`,
+	 * `approval-conflict`, or a failure of the table service.
+	 */
+	apply(request: ApplyRequest): ResultAsync<AppliedChange, Refusal> {
+		return new ResultAsync(this.#apply(request));
+	}
+
+	/**
+	 * Goes back to the answers of an earlier revision, as a new revision.
+	 *
+	 * @param revision - Number of the earlier revision.
+	 * @param request - Who goes back and why; the answers are those of the earlier revision.
+	 * @returns As {@link apply}, and `revision-unknown`.
+	 */
+	revert(revision: number, request: Omit<ApplyRequest, 'answers'>): ResultAsync<AppliedChange, Refusal> {
+		return this.#store.readRevision(revision).mapErr(toRefusal).andThen(({answers}) => this.apply({...request, answers}));
+	}
+
+	async #apply(request: ApplyRequest): Promise<Result<AppliedChange, Refusal>> {
+		const prepared = await this.#prepare(request.answers);
+		if (prepared.isErr()) {
+			return err(prepared.error);
+		}
+
+		const {plan, rules, current} = prepared.value;
+		const base = request.base ?? plan.base;
+		if (base !== plan.base) {
+			return this.#resolveStaleBase(request, base, {plan, current});
+		}
+
+		const missing = plan.needsApproval.filter(kind => !request.approve.includes(kind));
+		if (missing.length > 0) {
+			return err({failure: createFailure('approval-required', {kinds: missing.join(', ')}), plan});
+		}
+
+		const at = new Date(this.#now()).toISOString();
+		const {answers, by, note, token} = request;
+		const record: RevisionRecord = {
+			revision: base + 1, answers, by, at, token, note,
+		};
+		const approvals = collectApprovals(plan, rules, {by, at, token: randomUUID()});
+		const accepted = await this.#store.accept({record, approvals});
+		return accepted.isOk() ? ok({record: accepted.value, plan}) : err(await this.#describeRefusal(accepted.error, plan));
+	}
+
+	/** A change that is sent again after its response was lost finds its own token; any other is a conflict. */
+	async #resolveStaleBase({token}: ApplyRequest, base: number, {plan, current}: {plan: BasedPlan; current: RevisionRecord | undefined}): Promise<Result<AppliedChange, Refusal>> {
+		const next = await this.#store.readRevision(base + 1);
+		if (next.isErr() && next.error.id !== 'revision-unknown') {
+			return err({failure: next.error, plan});
+		}
+
+		if (next.isOk() && next.value.token === token) {
+			return ok({record: next.value, plan});
+		}
+
+		const other = next.unwrapOr(current!);
+		const failure = createFailure('revision-conflict', {revision: other?.revision ?? 0, by: other?.by ?? 'nobody', at: other?.at ?? 'unknown'});
+		return err(await this.#describeRefusal(failure, plan));
+	}
+
+	async #describeRefusal(failure: Failure, plan: BasedPlan): Promise<Refusal> {
+		const revision = Number(failure.parameters.revision);
+		if (failure.id !== 'revision-conflict' || !(revision > 0)) {
+			return {failure, plan};
+		}
+
+		const other = await this.#store.readRevision(revision);
+		const former = await this.#store.readRevision(revision - 1);
+		if (other.isErr()) {
+			return {failure, plan};
+		}
+
+		const {by, at, note, answers} = other.value;
+		const before = former.isOk() ? parseAnswers(former.value.answers).unwrapOr(undefined) : undefined;
+		const changes = parseAnswers(answers).map(after => planChange(before, after).changes.map(({text}) => text)).unwrapOr([]);
+		return {
+			failure, plan, otherChange: {
+				revision, by, at, note, changes,
+			},
+		};
+	}
+
+	#prepare(text: string): ResultAsync<{plan: BasedPlan; rules: ApprovalRule[]; current: RevisionRecord | undefined}, Refusal> {
+		return parseForApply(text).asyncAndThen(next => this.#store.readCurrent().mapErr(toRefusal)
+			.andThen(current => readCurrentAnswers(current)
+				.asyncAndThen(before => this.#store.listApprovals().mapErr(toRefusal)
+					.map(rules => ({plan: {...planChange(before, next, rules), base: current?.revision ?? 0}, rules, current})))));
+	}
+}
+
+function parseForApply(text: string): Result<Answers, Refusal> {
+	return parseAnswers(text).mapErr(problems => ({
+		failure: createFailure('answers-invalid', {reason: `${problems.length} ${problems.length === 1 ? 'problem' : 'problems'}`}), problems,
+	}));
+}
+
+function readCurrentAnswers(current: RevisionRecord | undefined): Result<Answers | undefined, Refusal> {
+	if (!current) {
+		return ok(undefined);
+	}
+
+	return parseAnswers(current.answers).mapErr(() => toRefusal(createFailure('answers-invalid', {reason: `those of revision ${current.revision} do not fit this version`})));
+}
+
+function collectApprovals(plan: Plan, rules: readonly ApprovalRule[], decision: {by: string; at: string; token: string}): RelatedApproval[] {
+	const kinds = new Set(plan.changes.filter(({reason, isRoutine}) => reason === 'within-approval' || !isRoutine).map(({approvalKind}) => approvalKind));
+	return [...kinds].flatMap((kind): RelatedApproval[] => {
+		const before = rules.find(rule => rule.kind === kind);
+		const unapproved = plan.changes.filter(change => change.approvalKind === kind && !change.isRoutine);
+		const after = unapproved.length > 0 ? extendRule(before, unapproved, decision) : before;
+		return after ? [{before, after}] : [];
+	});
+}
+
+function toRefusal(failure: Failure): Refusal {
+	return {failure};
+}
--- a/packages/configuration/src/configuration.ts
+++ b/packages/configuration/src/configuration.ts
@@ -73,7 +73,7 @@
 	readonly missingKey: MissingKey;
 	/** Days for which the outcome of a keyed request is kept. */
 	readonly outcomeDays: number;
-	/** Path of the endpoints' load report. */
+	/** Path of the endpoints' load report; empty when they report none. */
 	readonly loadPath: string;
 	readonly serviceLevels: readonly ServiceLevel[];
 };
--- a/packages/results/src/result-codes.ts
+++ b/packages/results/src/result-codes.ts
@@ -113,6 +113,12 @@
 	'not-in-force': {
 		number: 5005, status: 504, outcome: Outcome.unknown, message: 'Revision {revision} is accepted, but hosts {hosts} have not reported it in force.',
 	},
+	'approval-conflict': {
+		number: 5006, status: 409, outcome: Outcome.notRun, message: 'An approval rule for {kind} was changed meanwhile.',
+	},
+	'approval-unknown': {
+		number: 5007, status: 404, outcome: Outcome.notRun, message: 'No approval rule for {kind} exists.',
+	},
 	'table-condition-failed': {
 		number: 6001, status: 409, outcome: Outcome.notRun, message: 'The condition of the write on item {key} does not hold.',
 	},
--- a/packages/telemetry/src/log-messages.ts
+++ b/packages/telemetry/src/log-messages.ts
@@ -17,6 +17,8 @@
 	'peer-lost': 'A peer of this allocator is gone.',
 	'request-quarantined': 'A request that crashes endpoints is quarantined.',
 	'configuration-applied': 'A configuration is in force.',
+	'configuration-invalid': 'An accepted configuration does not fit this version and is not applied.',
+	'announcement-failed': 'A peer has not confirmed an accepted configuration yet.',
 	'configuration-unreadable': 'The current configuration cannot be read.',
 	'host-list-unreadable': 'The host list cannot be read; the last one stays in use.',
 	'claim-settled': 'An ambiguous write of a claim is settled.',
--- a/tools/lint/verbs.js
+++ b/tools/lint/verbs.js
@@ -2,11 +2,11 @@
 export const verbs = `
 	abort accept acquire add adopt announce append apply assert build cancel check choose close collect
 	compare compute connect convert count create decide decode delete describe detect disconnect drain
-	draw drop encode end enqueue escape expect expire fetch find finish fold format generate get grant
+	draw drop encode end enqueue escape expect expire extend fetch find finish fold format generate get grant
 	handle has hash init is list load lock log make mark match measure merge normalize notify observe
 	open parse pause pick plan print probe publish push put query rank read recall receive record
-	refuse register release remove render repeat replay report request reset resolve respond restore
-	resume retry run save scan schedule select send serve set settle shift show sign skip sort split
+	refuse refresh register release remove render repeat replay report request reset resolve respond restore
+	resume retry revert revoke run save scan schedule select send serve set settle shift show sign skip sort split
 	start stop store stream strip sum take test track transact transform trim try update validate
 	verify visit wait watch withdraw write
 `.trim().split(/\s+/v);
