--- a/packages/stand-ins/src/endpoint-request.ts
+++ b/packages/stand-ins/src/endpoint-request.ts
@@ -66,7 +66,8 @@
 export function describeUnheard({method, url, headers}: IncomingMessage): EndpointRun {
 	const key = headers['idempotency-key'];
 	return {
-		method: method ?? '', target: url ?? '', key: typeof key === 'string' ? key : undefined, bodyHash: '', timeout: undefined, receivedAt: readWallClock(), end: RunEnd.unheard,
+		method: method ?? '', target: url ?? '',
+		key: typeof key === 'string' ? key : undefined, requestId: undefined, bodyHash: '', timeout: undefined, receivedAt: readWallClock(), end: RunEnd.unheard,
 	};
 }
 
