feat(http): hedge stalled reads, leave silent connections, resume downloads

Cause: a read waited for its one attempt until the deadline, also when its connection had gone silent or its endpoint stalled, and a download that broke off was lost.

Ruled out: cancelling the first attempt after a silence, because work of many times the usual duration would never end; probing each idle connection, because opening a new one costs about 1 ms and probes draw on the measuring budget.

Change: after the quantile that the hedge budget pays for, a second attempt starts on a slot that is free at once; after the larger of 50 ms and five usual durations a second attempt starts and idle connections as old as the silent one are closed. Both draw on the retry budget. A download with a strong ETag goes on at its next byte on another endpoint by Range and If-Range; otherwise a cut response breaks the caller's connection.

--- a/packages/cli/src/entry-host.ts
+++ b/packages/cli/src/entry-host.ts
@@ -4,11 +4,12 @@
 } from 'node:http';
 import process from 'node:process';
 import type {Configuration} from '@tanagerrail/configuration';
-import {CallerListener, EndpointConnections, type RequestContext} from '@tanagerrail/http';
+import {
+	AttemptPolicies, CallerListener, EndpointConnections, type RequestContext,
+} from '@tanagerrail/http';
 import {HostDirectory, PauseDetector} from '@tanagerrail/membership';
 import {AllocatorRegistry, SlotRouter, SlotServer} from '@tanagerrail/peers';
 import {createHttpHostList, createS3Objects, type ObjectStore} from '@tanagerrail/platform';
-import {RetryBudget} from '@tanagerrail/routing';
 import {
 	createLogger, createMetrics, LogLevel, readMonotonicClock, setCommonLogFields, setLogFilter,
 } from '@tanagerrail/telemetry';
@@ -41,7 +42,7 @@
 	readonly #peerServer: Server;
 	readonly #adminServer: Server;
 	readonly #pauseDetector: PauseDetector;
-	readonly #retryBudgets = new Map<string, RetryBudget>();
+	readonly #policies = new AttemptPolicies({getConfiguration: () => this.#configuration});
 	readonly #configuration: Configuration | undefined;
 	#isStopping = false;
 
@@ -168,25 +169,14 @@
 			claims: this.#claims.service,
 			metrics,
 			getConfiguration: () => this.#configuration,
-			getRetryBudget: service => this.#getRetryBudget(service),
+			getRetryBudget: service => this.#policies.getRetryBudget(service),
+			getHedgePolicy: match => this.#policies.getHedgePolicy(match),
 			record: record => {
 				this.#levels.record(record);
 			},
 		};
 	}
 
-	#getRetryBudget(service: string): RetryBudget {
-		const known = this.#retryBudgets.get(service);
-		if (known) {
-			return known;
-		}
-
-		const ratio = this.#configuration?.services.find(({name}) => name === service)?.retryBudget;
-		const budget = new RetryBudget(ratio === undefined ? {} : {ratio});
-		this.#retryBudgets.set(service, budget);
-		return budget;
-	}
-
 	#handlePause(milliseconds: number): void {
 		logger.log(LogLevel.warn, 'host-paused', {milliseconds: Math.round(milliseconds)});
 		this.#router.reset();
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -1,3 +1,4 @@
+export * from './attempt-policies.js';
 export * from './caller-listener.js';
 export * from './connection-pool.js';
 export * from './endpoint-connections.js';
--- /dev/null
+++ b/packages/http/src/open-response.ts
@@ -0,0 +1,257 @@
+import {err, ok, type Result} from 'neverthrow';
+import {createFailure, type Failure} from '@tanagerrail/results';
+import {AttemptOutcome, type SlotGrant} from '@tanagerrail/routing';
+import {createLogger, LogLevel} from '@tanagerrail/telemetry';
+import {hashRequest, type CallerRequest} from './caller-request.js';
+import type {EndpointResponse} from './endpoint-attempt.js';
+import type {HeaderFields} from './forwarded-headers.js';
+import type {RequestContext} from './request-context.js';
+import {firstServerError, sendGranted} from './send-granted.js';
+
+const logger = createLogger('http');
+
+/** A response whose body has not been read yet. */
+export type OpenedResponse = {readonly response: EndpointResponse; readonly endpointId: string};
+
+/** Options of {@link ResponseOpener}. */
+export type ResponseOpenerOptions = {
+	readonly request: CallerRequest;
+	readonly context: RequestContext;
+	/** Headers that replace those of the caller's request; none by default. */
+	readonly headers?: HeaderFields;
+	/** Endpoints that are not asked; none by default. */
+	readonly excluded?: readonly string[];
+};
+
+/** How an attempt ended: with a response, good or bad, or with a failure. */
+type AttemptEnd = {
+	readonly endpointId: string | undefined;
+	readonly isRetryable: boolean;
+	readonly result: Result<OpenedResponse, Failure>;
+};
+
+/** One attempt in progress. */
+type RunningAttempt = {readonly end: Promise<AttemptEnd>; readonly controller: AbortController};
+
+/** What woke up the wait for attempts. */
+type Wake = {readonly kind: 'ended'; readonly attempt: RunningAttempt; readonly end: AttemptEnd} | {readonly kind: 'hedge' | 'silence'};
+
+/**
+ * Opens a response to an idempotent request: failed attempts are repeated on other endpoints, and a second attempt
+ * starts beside one that takes unusually long, as far as the deadline and the budgets allow.
+ */
+export class ResponseOpener {
+	readonly #request: CallerRequest;
+	readonly #context: RequestContext;
+	readonly #headers: HeaderFields;
+	readonly #excluded: string[];
+	readonly #running = new Set<RunningAttempt>();
+	readonly #fingerprint: string;
+	#wake: ((wake: Wake) => void) | undefined;
+	#pendingWakes: Wake[] = [];
+	readonly #timers = new Set<NodeJS.Timeout>();
+
+	constructor({request, context, headers = {}, excluded = []}: ResponseOpenerOptions) {
+		this.#request = request;
+		this.#context = context;
+		this.#headers = headers;
+		this.#excluded = [...excluded];
+		this.#fingerprint = hashRequest(request);
+	}
+
+	/**
+	 * Opens the response.
+	 *
+	 * @returns The first good response, else the last bad one or the failure of the last attempt.
+	 */
+	async open(): Promise<Result<OpenedResponse, Failure>> {
+		this.#startAttempt(false);
+		for (;;) {
+			const wake = await this.#waitWake();
+			if (wake.kind !== 'ended') {
+				this.#startSecond(wake.kind);
+				continue;
+			}
+
+			const {attempt, end} = wake;
+			this.#running.delete(attempt);
+			const isGood = end.result.isOk() && !end.isRetryable;
+			if (!isGood && this.#running.size > 0) {
+				dropBody(end);
+				continue;
+			}
+
+			if (!isGood && this.#canRetry(end)) {
+				dropBody(end);
+				logger.log(LogLevel.debug, 'endpoint-retried', {request: this.#request.id, endpoint: end.endpointId});
+				this.#startAttempt(false);
+				continue;
+			}
+
+			this.#cancelOthers();
+			return end.result;
+		}
+	}
+
+	#canRetry({isRetryable}: AttemptEnd): boolean {
+		const {deadline, match: {service, workClass}, signal} = this.#request;
+		return isRetryable && !signal.aborted && this.#context.clock() < deadline - workClass.usualMilliseconds
+			&& this.#context.getRetryBudget(service.name).take();
+	}
+
+	#startSecond(kind: 'hedge' | 'silence'): void {
+		if (this.#running.size !== 1) {
+			return;
+		}
+
+		const {match} = this.#request;
+		const policy = this.#context.getHedgePolicy?.(match);
+		const isPaid = kind === 'silence' || policy?.take();
+		if (isPaid && this.#context.getRetryBudget(match.service.name).take()) {
+			this.#startAttempt(kind === 'hedge');
+		}
+	}
+
+	#startAttempt(isImmediate: boolean): void {
+		const controller = new AbortController();
+		const {signal} = this.#request;
+		const cancel = () => {
+			controller.abort(AttemptOutcome.cancelled);
+		};
+
+		signal.addEventListener('abort', cancel, {once: true});
+		const attempt: RunningAttempt = {controller, end: this.#runAttempt(controller.signal, isImmediate)};
+		this.#running.add(attempt);
+		void this.#watchAttempt(attempt);
+	}
+
+	async #watchAttempt(attempt: RunningAttempt): Promise<void> {
+		const end = await attempt.end;
+		if (this.#running.has(attempt)) {
+			this.#notify({kind: 'ended', attempt, end});
+			return;
+		}
+
+		// Another attempt has won meanwhile.
+		dropBody(end);
+	}
+
+	async #runAttempt(signal: AbortSignal, isImmediate: boolean): Promise<AttemptEnd> {
+		const granted = await this.#acquire(signal, isImmediate);
+		if (granted.isErr()) {
+			return {endpointId: undefined, isRetryable: false, result: err(granted.error)};
+		}
+
+		const grant = granted.value;
+		const {endpointId} = grant;
+		this.#excluded.push(endpointId);
+		this.#scheduleSecond(grant);
+		const startedAt = this.#context.clock();
+		const sent = await sendGranted(this.#request, grant, this.#context, {signal, headers: this.#headers});
+		if (sent.isErr()) {
+			return {endpointId, isRetryable: sent.error.outcome !== AttemptOutcome.cancelled, result: err(sent.error.failure)};
+		}
+
+		this.#context.getHedgePolicy?.(this.#request.match).record(this.#context.clock() - startedAt);
+		return {endpointId, isRetryable: sent.value.status >= firstServerError, result: ok({response: sent.value, endpointId})};
+	}
+
+	async #acquire(signal: AbortSignal, isImmediate: boolean): Promise<Result<SlotGrant, Failure>> {
+		const {clock, slots} = this.#context;
+		const {match: {service, workClass}, deadline} = this.#request;
+		for (;;) {
+			const remainingMilliseconds = deadline - clock();
+			if (remainingMilliseconds <= 0) {
+				return err(createFailure('deadline-exceeded'));
+			}
+
+			const slot = await slots.acquire({
+				service: service.name,
+				workClass: workClass.name,
+				kind: workClass.kind,
+				remainingMilliseconds,
+				fingerprint: this.#fingerprint,
+				excluded: [...this.#excluded],
+				isImmediate,
+			}, signal);
+			if (slot.isErr() || slot.value.isUsable()) {
+				return slot;
+			}
+
+			slot.value.release({outcome: AttemptOutcome.unused, milliseconds: 0, isDraining: false});
+		}
+	}
+
+	/** Sets the times at which a second attempt starts, unless the first one has a response by then. */
+	#scheduleSecond({address}: SlotGrant): void {
+		const policy = this.#context.getHedgePolicy?.(this.#request.match);
+		if (!policy || this.#running.size > 1) {
+			return;
+		}
+
+		const startedAt = this.#context.clock();
+		if (policy.hedgeDelay !== undefined) {
+			this.#schedule(policy.hedgeDelay, () => {
+				this.#notify({kind: 'hedge'});
+			});
+		}
+
+		this.#schedule(policy.silenceLimit, () => {
+			// Idle connections as old as the silent one may be lost too; a new one costs about 1 ms.
+			this.#context.connections.get(address).dropOlder(startedAt);
+			this.#notify({kind: 'silence'});
+		});
+	}
+
+	#schedule(milliseconds: number, run: () => void): void {
+		const timer = setTimeout(() => {
+			this.#timers.delete(timer);
+			run();
+		}, milliseconds);
+		this.#timers.add(timer);
+	}
+
+	async #waitWake(): Promise<Wake> {
+		const pending = this.#pendingWakes.shift();
+		if (pending) {
+			return pending;
+		}
+
+		return new Promise(resolve => {
+			this.#wake = resolve;
+		});
+	}
+
+	#notify(wake: Wake): void {
+		const resolve = this.#wake;
+		this.#wake = undefined;
+		if (resolve) {
+			resolve(wake);
+			return;
+		}
+
+		this.#pendingWakes.push(wake);
+	}
+
+	#cancelOthers(): void {
+		for (const timer of this.#timers) {
+			clearTimeout(timer);
+		}
+
+		for (const {controller} of this.#running) {
+			controller.abort(AttemptOutcome.cancelled);
+		}
+
+		this.#running.clear();
+		this.#pendingWakes = [];
+	}
+}
+
+/** Reads the body of a response that nobody wants, so that its connection can be used again. */
+function dropBody({result}: AttemptEnd): void {
+	if (result.isOk()) {
+		const {body} = result.value.response;
+		body.on('error', () => {/* The response is not used. */});
+		body.resume();
+	}
+}
--- a/packages/http/src/request-context.ts
+++ b/packages/http/src/request-context.ts
@@ -1,6 +1,6 @@
 import type {ClaimService} from '@tanagerrail/claims';
-import type {Configuration} from '@tanagerrail/configuration';
-import type {RetryBudget, SlotSource} from '@tanagerrail/routing';
+import type {Configuration, RouteMatch} from '@tanagerrail/configuration';
+import type {HedgePolicy, RetryBudget, SlotSource} from '@tanagerrail/routing';
 import type {Clock, Metrics} from '@tanagerrail/telemetry';
 import type {EndpointConnections} from './endpoint-connections.js';
 
@@ -29,6 +29,8 @@
 	getConfiguration(): Configuration | undefined;
 	/** Retry budget of a service. */
 	getRetryBudget(service: string): RetryBudget;
+	/** Hedge policy of a work class; without it, no second attempt starts while one runs. */
+	getHedgePolicy?(match: RouteMatch): HedgePolicy;
 	/** Records the end of a request. */
 	record(record: RequestRecord): void;
 };
--- a/packages/http/src/send-granted.ts
+++ b/packages/http/src/send-granted.ts
@@ -3,24 +3,35 @@
 import {AttemptOutcome, type SlotGrant} from '@tanagerrail/routing';
 import type {CallerRequest} from './caller-request.js';
 import {sendAttempt, type AttemptFailure, type EndpointResponse} from './endpoint-attempt.js';
-import {buildEndpointHeaders} from './forwarded-headers.js';
+import {buildEndpointHeaders, type HeaderFields} from './forwarded-headers.js';
 import type {RequestContext} from './request-context.js';
 import {hasRecognisableEnd} from './stream-response.js';
 
 /** Status from which a response counts as a failure of the endpoint. */
 export const firstServerError = 500;
 
+/** How {@link sendGranted} sends a request. */
+export type SendOptions = {
+	/** Longest silence of a connection that may be used, in milliseconds. */
+	readonly maximumSilence: number;
+	/** Cancels the attempt. */
+	readonly signal: AbortSignal;
+	/** Headers that replace those of the caller's request. */
+	readonly headers: HeaderFields;
+};
+
 /**
  * Sends a request to the endpoint of a grant. The slot is given back when the response has ended or the attempt failed.
  *
  * @param request - The caller's request.
  * @param grant - The slot.
  * @param context - The host's request path.
- * @param maximumSilence - Longest silence of a connection that may be used, in milliseconds.
+ * @param options - How to send it; by default over any connection and until the caller is gone.
  * @returns The beginning of the response, or how the attempt ended.
  */
-export async function sendGranted(request: CallerRequest, grant: SlotGrant, context: RequestContext, maximumSilence = Infinity): Promise<Result<EndpointResponse, AttemptFailure>> {
+export async function sendGranted(request: CallerRequest, grant: SlotGrant, context: RequestContext, options: Partial<SendOptions> = {}): Promise<Result<EndpointResponse, AttemptFailure>> {
 	const {clock, connections, hostId} = context;
+	const {maximumSilence = Infinity, signal = request.signal, headers = {}} = options;
 	const startedAt = clock();
 	const controller = new AbortController();
 	const cancel = () => {
@@ -30,10 +41,14 @@
 	const timer = setTimeout(() => {
 		controller.abort(AttemptOutcome.timeout);
 	}, Math.max(1, request.deadline - startedAt));
-	request.signal.addEventListener('abort', cancel, {once: true});
+	signal.addEventListener('abort', cancel, {once: true});
+	if (signal.aborted) {
+		cancel();
+	}
+
 	const release = (outcome: AttemptOutcome, isDraining = false) => {
 		clearTimeout(timer);
-		request.signal.removeEventListener('abort', cancel);
+		signal.removeEventListener('abort', cancel);
 		grant.release({outcome, milliseconds: clock() - startedAt, isDraining});
 	};
 
@@ -43,9 +58,12 @@
 		request: {
 			method: request.method,
 			target: request.target,
-			headers: buildEndpointHeaders({
-				headers: request.headers, callerAddress: request.callerAddress, hostId, bodyLength: request.body?.length ?? 0,
-			}),
+			headers: {
+				...buildEndpointHeaders({
+					headers: request.headers, callerAddress: request.callerAddress, hostId, bodyLength: request.body?.length ?? 0,
+				}),
+				...headers,
+			},
 			body: request.body,
 		},
 		remainingMilliseconds: request.deadline - startedAt,
--- a/packages/http/src/serve-keyed.ts
+++ b/packages/http/src/serve-keyed.ts
@@ -105,7 +105,7 @@
 		}
 
 		// The caller's disconnection does not cancel the attempt: its outcome must be stored for the resend.
-		const attempt = await sendGranted({...request, signal: new AbortController().signal}, grant, context, maximumSilenceMilliseconds);
+		const attempt = await sendGranted(request, grant, context, {maximumSilence: maximumSilenceMilliseconds, signal: new AbortController().signal});
 		if (attempt.isOk()) {
 			return collectOutcome(attempt.value, request.method);
 		}
--- a/packages/http/src/stream-response.ts
+++ b/packages/http/src/stream-response.ts
@@ -3,6 +3,8 @@
 import {createFailure, type Failure} from '@tanagerrail/results';
 import {err, ok, type Result} from 'neverthrow';
 import type {EndpointResponse} from './endpoint-attempt.js';
+import type {OpenedResponse} from './open-response.js';
+import type {Resumption} from './resume-response.js';
 import {stripHopByHop} from './forwarded-headers.js';
 
 const statusesWithoutBody = new Set([204, 304]);
@@ -31,44 +33,63 @@
 }
 
 /**
- * Streams the body of a response to the caller. When the body turns out to be incomplete, the caller's connection is
- * broken, so that a cut response never looks complete.
+ * Streams the body of a response to the caller. A body that breaks off is continued by the resumption, if there is one;
+ * otherwise the caller's connection is broken, so that a cut response never looks complete.
  *
- * @param response - Response of the endpoint.
+ * @param opened - Response of the endpoint.
  * @param res - Response to the caller.
- * @param endpointId - For the failure.
+ * @param resume - Opens the rest of the body.
  * @returns Nothing, or `answer-incomplete` or `request-aborted`.
  */
-export async function streamResponse(response: EndpointResponse, res: ServerResponse, endpointId: string): Promise<Result<void, Failure>> {
-	res.writeHead(response.status, stripHopByHop(response.headers));
+export async function streamResponse(opened: OpenedResponse, res: ServerResponse, resume?: Resumption): Promise<Result<void, Failure>> {
+	const {status, headers, contentLength} = opened.response;
+	res.writeHead(status, stripHopByHop(headers));
+	const expected = hasNoBody(status, res.req.method ?? '') ? 0 : contentLength;
+	let current = opened;
 	let received = 0;
+	for (;;) {
+		const sent = await sendBody(current, res);
+		received += sent.bytes;
+		if (res.destroyed) {
+			current.response.body.destroy();
+			return err(createFailure('request-aborted'));
+		}
+
+		if (sent.isWhole && (expected === undefined || received === expected)) {
+			res.end();
+			return ok(undefined);
+		}
+
+		const resumed = await resume?.(received);
+		if (!resumed?.isOk()) {
+			res.destroy();
+			return err(resumed?.isErr() ? resumed.error : createFailure('answer-incomplete', {endpoint: current.endpointId}));
+		}
+
+		current = resumed.value;
+	}
+}
+
+async function sendBody({response}: OpenedResponse, res: ServerResponse): Promise<{bytes: number; isWhole: boolean}> {
+	let bytes = 0;
 	try {
 		for await (const chunk of response.body as AsyncIterable<Uint8Array>) {
-			received += chunk.length;
 			if (res.destroyed) {
-				response.body.destroy();
-				return err(createFailure('request-aborted'));
+				return {bytes, isWhole: false};
 			}
 
+			bytes += chunk.length;
 			if (!res.write(chunk)) {
 				await waitDrain(res);
 			}
 		}
-	} catch {
-		res.destroy();
-		return err(createFailure(res.closed ? 'request-aborted' : 'answer-incomplete', {endpoint: endpointId}));
-	}
 
-	if (response.contentLength !== undefined && received !== response.contentLength && res.req.method !== 'HEAD') {
-		res.destroy();
-		return err(createFailure('answer-incomplete', {endpoint: endpointId}));
+		return {bytes, isWhole: true};
+	} catch {
+		return {bytes, isWhole: false};
 	}
-
-	res.end();
-	return ok(undefined);
 }
 
-/** Waits until more can be written or the caller is gone; leaves no listener behind, because a long body waits often. */
 async function waitDrain(res: ServerResponse): Promise<void> {
 	const controller = new AbortController();
 	const {signal} = controller;
--- /dev/null
+++ b/packages/http/tests/serve-idempotent.test.ts
@@ -0,0 +1,185 @@
+import {createHash} from 'node:crypto';
+import {errAsync, okAsync} from 'neverthrow';
+import {test, type Test} from 'tap';
+import {request} from 'undici';
+import {defaultServiceConfiguration, type Configuration} from '@tanagerrail/configuration';
+import {createFailure} from '@tanagerrail/results';
+import type {SlotRelease, SlotSource} from '@tanagerrail/routing';
+import {
+	bodyDurationHeader, durationHeader, lengthHeader, StandInEndpoint, type EndpointFaults,
+} from '@tanagerrail/stand-ins';
+import {createMetrics, readMonotonicClock as clock} from '@tanagerrail/telemetry';
+import {AttemptPolicies} from '../src/attempt-policies.js';
+import {CallerListener} from '../src/caller-listener.js';
+import {EndpointConnections} from '../src/endpoint-connections.js';
+
+const configuration: Configuration = {
+	revision: 1,
+	measuring: {probesPerSecond: 0, bytesPerSecond: 0},
+	tableWritesPerSecond: 300,
+	services: [{
+		...defaultServiceConfiguration,
+		name: 'claim-status',
+		workClasses: [{
+			name: 'status', kind: 'short', priority: 'interactive', usualMilliseconds: 10, longestMilliseconds: 1000, deadlineMilliseconds: 2000, hedge: true,
+		}],
+		routes: [{
+			method: 'GET', path: '/**', workClass: 'status', idempotent: true,
+		}],
+	}],
+};
+
+/** A download whose body arrives in pieces, so that it can break off in the middle. */
+const download = {[lengthHeader]: '300000', [bodyDurationHeader]: '20'};
+
+/** One entry host in front of two endpoints; the first one is chosen unless it is excluded. */
+class Fixture {
+	readonly endpoints = [new StandInEndpoint(), new StandInEndpoint()];
+	readonly releases: Array<{endpointId: string; release: SlotRelease}> = [];
+	readonly #connections = new EndpointConnections({
+		clock, connections: 10, connectTimeout: 250, idleTimeout: 10_000,
+	});
+
+	#listener: CallerListener | undefined;
+	#origin = '';
+
+	get runs(): number {
+		return this.endpoints.reduce((sum, {started}) => sum + started, 0);
+	}
+
+	async start(): Promise<this> {
+		const ports = await Promise.all(this.endpoints.map(async endpoint => endpoint.start()));
+		const slots: SlotSource = {
+			acquire: ({excluded, service}) => {
+				const index = ports.findIndex((_, i) => !excluded.includes(String(i)));
+				const endpointId = String(index);
+				return index === -1
+					? errAsync(createFailure('no-endpoint', {service}))
+					: okAsync({
+						endpointId, address: `127.0.0.1:${ports[index]}`, isUsable: () => true, release: release => {
+							this.releases.push({endpointId, release});
+						},
+					});
+			},
+		};
+		const policies = new AttemptPolicies({getConfiguration: () => configuration});
+		this.#listener = new CallerListener({
+			context: {
+				hostId: 'a',
+				clock,
+				slots,
+				connections: this.#connections,
+				claims: {
+					claim: () => errAsync(createFailure('store-unavailable')),
+					recordDispatch: () => false,
+					recordNotRun: () => undefined,
+					finish: async () => undefined,
+					remove: async () => undefined,
+					drain: async () => undefined,
+				},
+				metrics: createMetrics(),
+				getConfiguration: () => configuration,
+				getRetryBudget: service => policies.getRetryBudget(service),
+				getHedgePolicy: match => policies.getHedgePolicy(match),
+				record: () => undefined,
+			},
+		});
+		this.#origin = `http://127.0.0.1:${await this.#listener.start({host: '127.0.0.1', port: 0})}`;
+		return this;
+	}
+
+	async send(headers: Record<string, string> = {}): Promise<{status: number; body: Buffer; milliseconds: number}> {
+		const startedAt = clock();
+		const {statusCode, body} = await request(`${this.#origin}/status/1`, {headers});
+		const bytes = Buffer.from(await body.arrayBuffer());
+		return {status: statusCode, body: bytes, milliseconds: clock() - startedAt};
+	}
+
+	stop(): void {
+		this.#listener?.stop();
+		this.#listener?.abort();
+		this.#connections.close();
+		for (const endpoint of this.endpoints) {
+			endpoint.stop();
+		}
+	}
+}
+
+async function startFixture(t: Test): Promise<Fixture> {
+	const fixture = await new Fixture().start();
+	t.teardown(() => {
+		fixture.stop();
+	});
+	return fixture;
+}
+
+test('a read survives each failure of the first endpoint that leaves time for a second try', async t => {
+	const cases: Array<{name: string; faults: EndpointFaults; outcome: string}> = [
+		{name: 'fails fast', faults: {isFailing: true}, outcome: 'failure'},
+		{name: 'crashes', faults: {crashTarget: '/status/1'}, outcome: 'crashed'},
+		{name: 'refuses', faults: {shedAbove: 0, slots: 1, stallMilliseconds: 0}, outcome: 'success'},
+		{name: 'stalls', faults: {stallMilliseconds: 1500}, outcome: 'cancelled'},
+	];
+	for (const {name, faults, outcome} of cases) {
+		const fixture = await startFixture(t);
+		fixture.endpoints[0]!.update(faults);
+		const {status, milliseconds} = await fixture.send();
+		t.equal(status, 200, name);
+		t.ok(milliseconds < 1000, `${name}: ${milliseconds} ms`);
+		t.equal(fixture.releases[0]?.release.outcome, outcome, `${name}: the allocator learns it`);
+	}
+});
+
+test('a read on a connection that has gone silent is answered over another one', async t => {
+	const fixture = await startFixture(t);
+	await Promise.all([fixture.send(), fixture.send(), fixture.send()]);
+	fixture.endpoints[0]!.update({silenceShare: 1});
+	const first = await fixture.send();
+	t.equal(first.status, 200);
+	const second = await fixture.send();
+	t.equal(second.status, 200);
+	t.ok(second.milliseconds < 50, `the other silent connections are out of use: ${second.milliseconds} ms`);
+});
+
+test('a download that breaks off goes on at the next byte on another endpoint', async t => {
+	const fixture = await startFixture(t);
+	const whole = await fixture.send(download);
+	fixture.endpoints[0]!.update({cutAfterBytes: 100_000});
+	const resumed = await fixture.send(download);
+	t.equal(resumed.status, 200);
+	t.equal(hashBody(resumed.body), hashBody(whole.body));
+	t.equal(fixture.endpoints[1]!.started, 1);
+});
+
+test('a cut response never looks complete', async t => {
+	const fixture = await startFixture(t);
+	for (const endpoint of fixture.endpoints) {
+		endpoint.update({cutAfterBytes: 100_000});
+	}
+
+	await t.rejects(fixture.send(download));
+});
+
+test('a stalled request is hedged, and hedges stay within their budget', async t => {
+	const fixture = await startFixture(t);
+	for (let index = 0; index < 100; index += 1) {
+		await fixture.send({[durationHeader]: '2'});
+	}
+
+	fixture.endpoints[0]!.update({requestStallShare: 1, requestStallMilliseconds: 45});
+	const before = fixture.runs;
+	const durations: number[] = [];
+	for (let index = 0; index < 40; index += 1) {
+		const {milliseconds} = await fixture.send({[durationHeader]: '2'});
+		durations.push(milliseconds);
+	}
+
+	const hedges = fixture.runs - before - 40;
+	t.ok(hedges >= 1, `${hedges} hedges`);
+	t.ok(hedges <= 5 + Math.ceil(40 * 0.02), 'saved hedges and 2% of the requests');
+	t.ok(durations.some(value => value < 40), 'a hedge is answered first');
+});
+
+function hashBody(body: Uint8Array): string {
+	return createHash('sha256').update(body).digest('hex');
+}
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -4,6 +4,8 @@
 export * from './attempt-outcome.js';
 export * from './endpoint-pool.js';
 export * from './endpoint.js';
+export * from './hedge-policy.js';
+export * from './latency-quantile.js';
 export * from './lease-book.js';
 export * from './quarantine.js';
 export * from './retry-budget.js';
