feat(routing): probe endpoints without traffic and end draining notices

Cause: an endpoint without requests told nothing about its state, and a draining notice stayed for good when the endpoint came back under the same id.

Ruled out: probing on every host, because the budget belongs to a service; only the allocator that is first in rank probes, and it probes the endpoint that was heard of least recently, none that answered within the last second.

Change: ProbePlanner chooses for the budgeted prober; a load report without a notice ends the draining state unless the host list says that the endpoint is leaving. A stopping host sends its own requests to the next allocator.

--- a/packages/cli/src/entry-host.ts
+++ b/packages/cli/src/entry-host.ts
@@ -63,7 +63,13 @@
 			settings, incarnation: this.#incarnation, directory: this.#directory, getConfiguration: () => this.#configuration,
 		});
 		this.#registry = new AllocatorRegistry({
-			hostId: host.id, directory: this.#directory, clock, getConfiguration: () => this.#configuration,
+			hostId: host.id,
+			directory: this.#directory,
+			clock,
+			getConfiguration: () => this.#configuration,
+			onCost: (service, cost) => {
+				this.#levels.recorder.recordCost(service, cost);
+			},
 		});
 		this.#pauseDetector = new PauseDetector({
 			clock,
@@ -128,6 +134,8 @@
 		this.#isStopping = true;
 		logger.log(LogLevel.info, 'host-stopping');
 		this.#slotServer.announceGoodbye();
+		// This host's own requests go to the next allocator as well, so that both do not hand out the same slots.
+		this.#directory.recordGoodbye(this.#settings.host.id);
 		this.#listener.drain();
 		await waitMilliseconds(lameDuckMilliseconds);
 		this.#listener.stop();
--- a/packages/peers/src/allocator-registry.ts
+++ b/packages/peers/src/allocator-registry.ts
@@ -1,5 +1,6 @@
 import type {Configuration} from '@tanagerrail/configuration';
 import type {HostDirectory} from '@tanagerrail/membership';
+import {LoadProber, type MeasuringCost} from '@tanagerrail/measuring';
 import {HostState} from '@tanagerrail/platform';
 import {Allocator, type CrashRecord, type EndpointStatus} from '@tanagerrail/routing';
 import type {Clock} from '@tanagerrail/telemetry';
@@ -13,6 +14,8 @@
 	readonly getConfiguration: () => Configuration | undefined;
 	/** How long a new allocator holds back the share of hosts that have not connected, in milliseconds. */
 	readonly joinGraceMilliseconds: number;
+	/** Called with the cost of measuring in each second. */
+	readonly onCost: (service: string, cost: MeasuringCost) => void;
 	/** Time between two looks at waiting requests whose deadline has come, in milliseconds. */
 	readonly expireMilliseconds: number;
 };
@@ -27,9 +30,11 @@
 };
 
 /** Defaults of {@link AllocatorRegistryOptions}. */
-export const defaultAllocatorRegistryOptions = {joinGraceMilliseconds: 500, expireMilliseconds: 5, random: Math.random};
+export const defaultAllocatorRegistryOptions = {
+	joinGraceMilliseconds: 500, expireMilliseconds: 5, random: Math.random, onCost: () => undefined,
+};
 
-type Entry = {readonly allocator: Allocator; readonly createdAt: number; readonly users: Set<string>; readonly moved: Set<string>};
+type Entry = {readonly allocator: Allocator; readonly prober: LoadProber; readonly createdAt: number; readonly users: Set<string>; readonly moved: Set<string>};
 
 /** The allocators that run on this host, by service. */
 export class AllocatorRegistry {
@@ -69,12 +74,13 @@
 			return known.allocator;
 		}
 
-		const configured = this.#options.getConfiguration()?.services.find(({name}) => name === service);
-		if (!configured) {
+		const configuration = this.#options.getConfiguration();
+		const configured = configuration?.services.find(({name}) => name === service);
+		if (!configuration || !configured) {
 			return undefined;
 		}
 
-		const {clock, random} = this.#options;
+		const {clock, random, onCost} = this.#options;
 		const allocator: Allocator = new Allocator({
 			service: configured,
 			clock,
@@ -90,8 +96,18 @@
 				this.#notify(({onCrash}) => onCrash?.(service, record));
 			},
 		});
+		const prober = new LoadProber(configuration.measuring, {
+			service,
+			targets: allocator.probeTargets,
+			loadPath: configured.loadPath,
+			clock,
+			onCost(cost) {
+				onCost(service, cost);
+			},
+		});
+		prober.start();
 		this.#entries.set(service, {
-			allocator, createdAt: clock(), users: new Set([this.#options.hostId]), moved: new Set(),
+			allocator, prober, createdAt: clock(), users: new Set([this.#options.hostId]), moved: new Set(),
 		});
 		this.#updateEntry(service);
 		this.#notify(({onCreate}) => onCreate?.(service, allocator));
@@ -143,9 +159,25 @@
 
 	/** Discards all allocators, after a pause or because the configuration changed. */
 	reset(): void {
+		for (const {prober} of this.#entries.values()) {
+			prober.stop();
+		}
+
 		this.#entries.clear();
 	}
 
+	/** Applies the configuration in force; waits and slots in use stay. */
+	updateConfiguration(): void {
+		const configuration = this.#options.getConfiguration();
+		for (const [name, {allocator, prober}] of this.#entries) {
+			const service = configuration?.services.find(candidate => candidate.name === name);
+			if (configuration && service) {
+				allocator.updateService(service);
+				prober.update(configuration.measuring);
+			}
+		}
+	}
+
 	/**
 	 * Describes the endpoints of all allocators on this host.
 	 *
@@ -155,9 +187,10 @@
 		return Object.fromEntries([...this.#entries].map(([service, {allocator}]) => [service, allocator.describe()]));
 	}
 
-	/** Ends the timer. */
+	/** Ends the timer and the probes. */
 	stop(): void {
 		clearInterval(this.#timer);
+		this.reset();
 	}
 
 	#notify(send: (listener: AllocatorListener) => void): void {
--- a/packages/routing/src/allocation.ts
+++ b/packages/routing/src/allocation.ts
@@ -1,5 +1,5 @@
 import type {Result} from 'neverthrow';
-import type {WorkClass} from '@tanagerrail/configuration';
+import type {ServiceConfiguration, WorkClass} from '@tanagerrail/configuration';
 import type {Failure} from '@tanagerrail/results';
 import type {EndpointState} from './endpoint.js';
 import type {SlotRequest} from './slot-source.js';
@@ -44,3 +44,16 @@
 	/** Slots that hosts keep for their next request. */
 	readonly leased: number;
 };
+
+/**
+ * Creates the ticket of a request for a slot.
+ *
+ * @param request - The host and its request.
+ * @param service - Configuration of the service; an unknown work class counts as the first one.
+ * @param now - Monotonic time in milliseconds.
+ * @returns The ticket.
+ */
+export function createTicket(request: AllocationRequest, {workClasses}: ServiceConfiguration, now: number): AllocationTicket {
+	const workClass = workClasses.find(({name}) => name === request.request.workClass) ?? workClasses[0]!;
+	return {...request, workClass, deadline: now + request.request.remainingMilliseconds};
+}
--- a/packages/routing/src/allocator.ts
+++ b/packages/routing/src/allocator.ts
@@ -1,16 +1,18 @@
 import {err, ok} from 'neverthrow';
 import {WorkKind, type ServiceConfiguration, type WorkClass} from '@tanagerrail/configuration';
+import type {ProbeTargets} from '@tanagerrail/measuring';
 import {createFailure, type Failure} from '@tanagerrail/results';
 import {
 	checkInvariant, createLogger, LogLevel, type Clock,
 } from '@tanagerrail/telemetry';
-import type {
-	AllocatedSlot, AllocationRequest, AllocationTicket, EndpointStatus, HeldSlotUse, SlotUse,
+import {
+	createTicket, type AllocatedSlot, type AllocationRequest, type AllocationTicket, type EndpointStatus, type HeldSlotUse,
 } from './allocation.js';
 import {AttemptOutcome} from './attempt-outcome.js';
 import {EndpointPool, type ListedEndpoint} from './endpoint-pool.js';
 import {EndpointState, type Endpoint} from './endpoint.js';
 import {LeaseBook} from './lease-book.js';
+import {ProbePlanner} from './probe-planner.js';
 import {Quarantine} from './quarantine.js';
 import {computeQuota, type SlotShare} from './slot-share.js';
 import type {SlotRelease} from './slot-source.js';
@@ -53,6 +55,7 @@
 	readonly #leases: LeaseBook;
 	readonly #quarantine: Quarantine;
 	readonly #estimator: WaitEstimator;
+	readonly #probePlanner: ProbePlanner;
 	// Hosts carry grants over to the next allocator, so ids must differ between allocators.
 	readonly #grantPrefix: string;
 	#service: ServiceConfiguration;
@@ -66,15 +69,23 @@
 
 	constructor(options: Partial<AllocatorOptions> & Pick<AllocatorOptions, 'service' | 'clock'>) {
 		this.#options = {...defaultAllocatorOptions, ...options};
-		const {service, clock, random, onRecall} = this.#options;
+		const {service, clock, random, onRecall, onDrain} = this.#options;
 		this.#service = service;
 		this.#endpoints = new EndpointPool({slotsPerEndpoint: service.slotsPerEndpoint, random});
 		this.#quarantine = new Quarantine({clock});
 		this.#leases = new LeaseBook({onRecall});
 		this.#estimator = new WaitEstimator(service);
+		this.#probePlanner = new ProbePlanner({
+			endpoints: this.#endpoints, clock, onDrain, isActive: () => this.#share.isFirstRank,
+		});
 		this.#grantPrefix = random().toString(36).slice(2, 8);
 	}
 
+	/** Chooses the endpoints whose load reports are fetched. */
+	get probeTargets(): ProbeTargets {
+		return this.#probePlanner;
+	}
+
 	get quarantine(): Quarantine {
 		return this.#quarantine;
 	}
@@ -143,7 +154,7 @@
 	 * @returns The ticket of the wait.
 	 */
 	acquire(allocation: AllocationRequest): AllocationTicket {
-		const ticket = this.#createTicket(allocation, allocation.onSettled);
+		const ticket = createTicket(allocation, this.#service, this.#options.clock());
 		const refusal = this.#findRefusal(ticket);
 		if (refusal) {
 			ticket.onSettled(err(refusal));
@@ -217,7 +228,7 @@
 			return;
 		}
 
-		this.#addGrant(grantId, this.#createTicket(held, () => undefined), endpoint);
+		this.#addGrant(grantId, createTicket({...held, onSettled: () => undefined}, this.#service, this.#options.clock()), endpoint);
 	}
 
 	/**
@@ -278,9 +289,7 @@
 	 * @returns State, reason and slots of each endpoint.
 	 */
 	describe(): EndpointStatus[] {
-		return this.#endpoints.list().map(({id, state, reason, slots, inUse, leased}) => ({
-			id, state, reason, slots, inUse, leased,
-		}));
+		return this.#endpoints.describe();
 	}
 
 	/**
@@ -310,14 +319,6 @@
 		return workClass.kind === WorkKind.long ? this.#long : this.#short;
 	}
 
-	#createTicket(use: SlotUse, onSettled: AllocationTicket['onSettled']): AllocationTicket {
-		const {workClasses} = this.#service;
-		const workClass = workClasses.find(({name}) => name === use.request.workClass) ?? workClasses[0]!;
-		return {
-			...use, onSettled, workClass, deadline: this.#options.clock() + use.request.remainingMilliseconds,
-		};
-	}
-
 	#findRefusal(ticket: AllocationTicket): Failure | undefined {
 		const {request, workClass} = ticket;
 		const {name, maximumWaitFraction} = this.#service;
--- a/packages/routing/src/endpoint-pool.ts
+++ b/packages/routing/src/endpoint-pool.ts
@@ -1,4 +1,5 @@
 import type {WorkClass} from '@tanagerrail/configuration';
+import type {EndpointStatus} from './allocation.js';
 import {Endpoint, EndpointState} from './endpoint.js';
 
 /** An endpoint as the host list gives it. */
@@ -85,6 +86,17 @@
 		return [...this.#endpoints.values()];
 	}
 
+	/**
+	 * Describes the endpoints for operators.
+	 *
+	 * @returns State, reason and slots of each endpoint.
+	 */
+	describe(): EndpointStatus[] {
+		return this.list().map(({id, state, reason, slots, inUse, leased}) => ({
+			id, state, reason, slots, inUse, leased,
+		}));
+	}
+
 	/**
 	 * Finds an endpoint.
 	 *
@@ -105,7 +117,7 @@
 		const ids = new Set(listed.map(({id}) => id));
 		for (const endpoint of this.list()) {
 			if (!ids.has(endpoint.id)) {
-				endpoint.drain('no longer listed');
+				endpoint.setListedLeaving(true);
 				if (endpoint.inUse === 0) {
 					this.#endpoints.delete(endpoint.id);
 				}
@@ -120,9 +132,7 @@
 					id, address, failureDomain, slots: this.#slotsPerEndpoint, isCold: !this.#isFirstList,
 				});
 			this.#endpoints.set(id, endpoint);
-			if (isLeaving) {
-				endpoint.drain('listed as leaving');
-			}
+			endpoint.setListedLeaving(isLeaving);
 		}
 
 		this.#isFirstList &&= listed.length === 0;
--- a/packages/routing/src/endpoint.ts
+++ b/packages/routing/src/endpoint.ts
@@ -58,6 +58,8 @@
 	#isEjected = false;
 	#isSlow = false;
 	#isDraining = false;
+	#isListedLeaving = false;
+	#seenAt = -Infinity;
 	#lastTrialAt = 0;
 	#reason = 'no failure seen';
 
@@ -97,6 +99,11 @@
 		return Math.max(0, this.#openSlots - this.#attempts.size - this.#leases.size);
 	}
 
+	/** Monotonic time of the last response or probe, in milliseconds. */
+	get seenAt(): number {
+		return this.#seenAt;
+	}
+
 	/** Why the endpoint is in its state, for operators. */
 	get reason(): string {
 		return this.#reason;
@@ -185,6 +192,7 @@
 		}
 
 		if (release.outcome === AttemptOutcome.success) {
+			this.#seenAt = now;
 			this.#openSlots = Math.min(this.#slots, this.#openSlots * 2);
 			this.#durations = [...this.#durations, release.milliseconds / attempt.workClass.usualMilliseconds].slice(-this.#options.windowLength);
 		}
@@ -214,10 +222,36 @@
 		this.#slots = slots;
 	}
 
-	/** Takes new work again after the host list shows the endpoint as live under a new start. */
+	/**
+	 * Takes over the state of the host list; it goes before what the endpoint says itself.
+	 *
+	 * @param isLeaving - Whether the endpoint is listed as leaving.
+	 */
+	setListedLeaving(isLeaving: boolean): void {
+		this.#isListedLeaving = isLeaving;
+		if (isLeaving) {
+			this.drain('listed as leaving');
+		}
+	}
+
+	/**
+	 * Records that the endpoint is probed, so that it is not probed again at once.
+	 *
+	 * @param now - Monotonic time in milliseconds.
+	 */
+	recordProbe(now: number): void {
+		this.#seenAt = now;
+	}
+
+	/** Takes new work again after a load report without a draining notice, unless the host list says otherwise. */
 	resume(): void {
+		if (!this.#isDraining || this.#isListedLeaving) {
+			return;
+		}
+
 		this.#isDraining = false;
-		this.#reason = 'listed as live';
+		this.#openSlots = 1;
+		this.#reason = 'its load report no longer says that it is leaving';
 	}
 
 	/**
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -7,6 +7,7 @@
 export * from './hedge-policy.js';
 export * from './latency-quantile.js';
 export * from './lease-book.js';
+export * from './probe-planner.js';
 export * from './quarantine.js';
 export * from './retry-budget.js';
 export * from './slot-share.js';
