--- a/packages/bench/src/baselines/baseline-main.ts
+++ b/packages/bench/src/baselines/baseline-main.ts
@@ -1,8 +1,7 @@
 import process from 'node:process';
-import {errAsync} from 'neverthrow';
+import {createUnavailableClaims} from '@tanagerrail/claims';
 import type {Configuration} from '@tanagerrail/configuration';
 import {CallerListener, EndpointConnections} from '@tanagerrail/http';
-import {createFailure} from '@tanagerrail/results';
 import {RetryBudget} from '@tanagerrail/routing';
 import {createMetrics, readMonotonicClock} from '@tanagerrail/telemetry';
 import {RandomSource} from '../load/random-source.js';
@@ -36,12 +35,7 @@
 			connections: new EndpointConnections({
 				clock: readMonotonicClock, connections: 200, connectTimeout: 250, idleTimeout: 30_000,
 			}),
-			claims: {
-				claim: () => errAsync(createFailure('store-unavailable')),
-				finish: async () => undefined,
-				remove: async () => undefined,
-				drain: async () => undefined,
-			},
+			claims: createUnavailableClaims(),
 			metrics: createMetrics(),
 			getConfiguration: () => configuration,
 			getRetryBudget: service => budgets.get(service)!,
--- /dev/null
+++ b/packages/claims/src/unavailable-claims.ts
@@ -0,0 +1,19 @@
+import {errAsync} from 'neverthrow';
+import {createFailure} from '@tanagerrail/results';
+import type {ClaimService} from './claim-service.js';
+
+/**
+ * Creates claims for a host without a table: every keyed request is refused as `store-unavailable` and none runs.
+ *
+ * @returns The claims.
+ */
+export function createUnavailableClaims(): ClaimService {
+	return {
+		claim: () => errAsync(createFailure('store-unavailable')),
+		recordDispatch: () => false,
+		recordNotRun: () => undefined,
+		finish: async () => undefined,
+		remove: async () => undefined,
+		drain: async () => undefined,
+	};
+}
--- a/packages/cli/src/host-claims.ts
+++ b/packages/cli/src/host-claims.ts
@@ -1,9 +1,7 @@
-import {errAsync} from 'neverthrow';
-import {TableClaims, type ClaimService} from '@tanagerrail/claims';
+import {createUnavailableClaims, TableClaims, type ClaimService} from '@tanagerrail/claims';
 import type {Configuration} from '@tanagerrail/configuration';
 import type {HostDirectory} from '@tanagerrail/membership';
 import {createDynamoTable, createS3Objects} from '@tanagerrail/platform';
-import {createFailure} from '@tanagerrail/results';
 import {createLogger, LogLevel} from '@tanagerrail/telemetry';
 import type {Settings} from './settings.js';
 
@@ -66,14 +64,3 @@
 		},
 	};
 }
-
-function createUnavailableClaims(): ClaimService {
-	return {
-		claim: () => errAsync(createFailure('store-unavailable')),
-		recordDispatch: () => false,
-		recordNotRun: () => undefined,
-		finish: async () => undefined,
-		remove: async () => undefined,
-		drain: async () => undefined,
-	};
-}
--- a/packages/stand-ins/src/platform-server.ts
+++ b/packages/stand-ins/src/platform-server.ts
@@ -21,6 +21,8 @@
 
 /** The protocol of one platform service. */
 export type PlatformProtocol = {
+	/** Further requests below `/-/`, by method and path. */
+	readonly controls?: Readonly<Record<string, (request: PlatformRequest) => PlatformResponse>>;
 	isWrite(request: PlatformRequest): boolean;
 	/** Serves a request in one step, so that concurrent requests cannot interleave. */
 	serve(request: PlatformRequest): PlatformResponse;
@@ -155,7 +157,13 @@
 		sendResponse(res, response);
 	}
 
-	async #serveControl({method, url, body}: PlatformRequest): Promise<PlatformResponse> {
+	async #serveControl(request: PlatformRequest): Promise<PlatformResponse> {
+		const {method, url, body} = request;
+		const control = this.#protocol.controls?.[`${method} ${url.pathname}`];
+		if (control) {
+			return control(request);
+		}
+
 		if (method === 'PUT' && url.pathname === '/-/faults') {
 			const faults = parseFaults(body);
 			if (!faults) {
--- a/packages/stand-ins/src/stand-in-host-list.ts
+++ b/packages/stand-ins/src/stand-in-host-list.ts
@@ -1,4 +1,11 @@
-import {createServer, type Server} from 'node:http';
+import {z} from 'zod';
+import type {PlatformFaults} from './platform-faults.js';
+import {PlatformServer, type PlatformRequest, type PlatformResponse} from './platform-server.js';
+
+const targetGroupsSchema = z.array(z.object({
+	targets: z.array(z.string()),
+	labels: z.record(z.string(), z.string()),
+}));
 
 /** One row of the list in the HTTP service discovery format of Prometheus. */
 export type TargetGroup = {
@@ -6,25 +13,30 @@
 	readonly labels: Readonly<Record<string, string>>;
 };
 
-/** Serves a list of hosts that lags behind the truth. */
+/**
+ * Serves a list of hosts that lags behind the truth. `PUT /-/rows` replaces the list after its lag, `PUT /-/faults`
+ * changes the faults.
+ */
 export class StandInHostList {
-	readonly #server: Server;
+	readonly #server: PlatformServer;
 	readonly #lagMilliseconds: number;
 	#rows: readonly TargetGroup[] = [];
-	#isDown = false;
+	#controlUrl = '';
 
 	constructor({lagMilliseconds = 0} = {}) {
 		this.#lagMilliseconds = lagMilliseconds;
-		this.#server = createServer((_req, res) => {
-			if (this.#isDown) {
-				res.writeHead(503).end();
-				return;
-			}
-
-			res.writeHead(200, {'content-type': 'application/json'}).end(JSON.stringify(this.#rows));
+		this.#server = new PlatformServer({
+			isWrite: () => false,
+			serve: () => ({status: 200, headers: {'content-type': 'application/json'}, body: JSON.stringify(this.#rows)}),
+			controls: {'PUT /-/rows': request => this.#receiveRows(request)},
 		});
 	}
 
+	/** URL that serves `/-/faults` and `/-/rows` also while connections to the list are refused. */
+	get controlUrl(): string {
+		return this.#controlUrl;
+	}
+
 	/**
 	 * Starts to listen.
 	 *
@@ -32,11 +44,9 @@
 	 * @returns URL of the list.
 	 */
 	async start(port = 0): Promise<string> {
-		await new Promise<void>(resolve => {
-			this.#server.listen(port, '127.0.0.1', resolve);
-		});
-		const address = this.#server.address();
-		return `http://127.0.0.1:${typeof address === 'object' && address ? address.port : port}/hosts`;
+		const {url, controlUrl} = await this.#server.start(port);
+		this.#controlUrl = controlUrl;
+		return `${url}/hosts`;
 	}
 
 	/**
@@ -50,18 +60,35 @@
 		}, this.#lagMilliseconds).unref();
 	}
 
+	/**
+	 * Changes the faults.
+	 *
+	 * @param faults - The faults to change.
+	 */
+	async setFaults(faults: Partial<PlatformFaults>): Promise<void> {
+		await this.#server.update(faults);
+	}
+
 	/**
 	 * Makes the list unavailable or available again.
 	 *
 	 * @param isDown - Whether reads fail.
 	 */
 	setDown(isDown: boolean): void {
-		this.#isDown = isDown;
+		void this.setFaults({down: isDown ? 'unavailable' : 'none'});
 	}
 
 	/** Stops at once. */
 	stop(): void {
-		this.#server.close();
-		this.#server.closeAllConnections();
+		this.#server.stop();
+	}
+
+	#receiveRows({body}: PlatformRequest): PlatformResponse {
+		try {
+			this.update(targetGroupsSchema.parse(JSON.parse(Buffer.from(body).toString())));
+			return {status: 204};
+		} catch {
+			return {status: 400, body: 'The rows are malformed.\n'};
+		}
 	}
 }
