--- a/packages/stand-ins/src/platform-server.ts
+++ b/packages/stand-ins/src/platform-server.ts
@@ -82,8 +82,9 @@
 	 * Changes the faults.
 	 *
 	 * @param faults - The faults to change; the others stay.
+	 * @param res - Response that is sent before open connections break, for a change over HTTP.
 	 */
-	async update(faults: Partial<PlatformFaults>): Promise<void> {
+	async update(faults: Partial<PlatformFaults>, res?: ServerResponse): Promise<void> {
 		const former = this.#faults.down;
 		this.#faults = {...this.#faults, ...faults};
 		if (this.#faults.down === former) {
@@ -91,7 +92,16 @@
 		}
 
 		if (this.#faults.down === 'refused') {
-			closeServer(this.#server);
+			const server = this.#server;
+			server.close();
+			if (res) {
+				res.setHeader('connection', 'close').once('finish', () => {
+					server.closeAllConnections();
+				});
+				return;
+			}
+
+			server.closeAllConnections();
 		} else if (former === 'refused') {
 			this.#server = this.#createServer();
 			await openPort(this.#server, this.#port);
@@ -114,7 +124,7 @@
 		try {
 			const request = await receiveRequest(req);
 			if (request.url.pathname.startsWith('/-/')) {
-				sendResponse(res, await this.#serveControl(request));
+				sendResponse(res, await this.#serveControl(request, res));
 				return;
 			}
 
@@ -157,7 +167,7 @@
 		sendResponse(res, response);
 	}
 
-	async #serveControl(request: PlatformRequest): Promise<PlatformResponse> {
+	async #serveControl(request: PlatformRequest, res: ServerResponse): Promise<PlatformResponse> {
 		const {method, url, body} = request;
 		const control = this.#protocol.controls?.[`${method} ${url.pathname}`];
 		if (control) {
@@ -170,7 +180,7 @@
 				return {status: 400, body: 'The faults are malformed.\n'};
 			}
 
-			await this.update(faults);
+			await this.update(faults, res);
 		}
 
 		const shown: Readonly<Record<string, unknown>> = {'/-/faults': this.#faults, '/-/counts': this.#counts};
--- /dev/null
+++ b/packages/stand-ins/tests/platform-server.test.ts
@@ -0,0 +1,45 @@
+import {test} from 'tap';
+import {StandInHostList} from '../src/stand-in-host-list.js';
+import {StandInTable} from '../src/stand-in-table.js';
+
+async function put(url: string, body: unknown): Promise<number> {
+	const {status} = await fetch(url, {method: 'PUT', body: JSON.stringify(body)});
+	return status;
+}
+
+test('a refused table can be brought back from outside, and a malformed fault changes nothing', async t => {
+	const table = new StandInTable();
+	const {url, controlUrl} = await table.start();
+	t.teardown(() => {
+		table.stop();
+	});
+	t.equal(await put(`${url}/-/faults`, {slowMilliseconds: 1}), 200);
+	t.equal(await put(`${url}/-/faults`, {down: 'perhaps'}), 400);
+	t.equal(await put(`${url}/-/faults`, {down: 'refused'}), 200);
+	await t.rejects(fetch(`${url}/-/faults`));
+	t.equal(await put(`${controlUrl}/-/faults`, {down: 'none'}), 200);
+	const faults = await fetch(`${url}/-/faults`);
+	t.same(await faults.json(), {
+		down: 'none', slowMilliseconds: 1, loseResponses: 0, failWrites: 0,
+	});
+});
+
+test('the host list takes rows and faults from outside', async t => {
+	const list = new StandInHostList();
+	const url = await list.start();
+	t.teardown(() => {
+		list.stop();
+	});
+	const rows = [{targets: ['127.0.0.1:1'], labels: {role: 'entry'}}];
+	t.equal(await put(`${list.controlUrl}/-/rows`, rows), 204);
+	t.equal(await put(`${list.controlUrl}/-/rows`, [{targets: 1}]), 400);
+	let shown: unknown = [];
+	while (JSON.stringify(shown) !== JSON.stringify(rows)) {
+		const response = await fetch(url);
+		shown = await response.json();
+	}
+
+	t.equal(await put(`${list.controlUrl}/-/faults`, {down: 'unavailable'}), 200);
+	const {status} = await fetch(url);
+	t.equal(status, 503);
+});
