--- a/packages/stand-ins/src/platform-server.ts
+++ b/packages/stand-ins/src/platform-server.ts
@@ -21,6 +21,8 @@
 
 /** The protocol of one platform service. */
 export type PlatformProtocol = {
+	/** Further requests below `/-/`, by method and path. */
+	readonly controls?: Readonly<Record<string, (request: PlatformRequest) => PlatformResponse>>;
 	isWrite(request: PlatformRequest): boolean;
 	/** Serves a request in one step, so that concurrent requests cannot interleave. */
 	serve(request: PlatformRequest): PlatformResponse;
@@ -80,8 +82,9 @@
 	 * Changes the faults.
 	 *
 	 * @param faults - The faults to change; the others stay.
+	 * @param res - Response that is sent before open connections break, for a change over HTTP.
 	 */
-	async update(faults: Partial<PlatformFaults>): Promise<void> {
+	async update(faults: Partial<PlatformFaults>, res?: ServerResponse): Promise<void> {
 		const former = this.#faults.down;
 		this.#faults = {...this.#faults, ...faults};
 		if (this.#faults.down === former) {
@@ -89,7 +92,16 @@
 		}
 
 		if (this.#faults.down === 'refused') {
-			closeServer(this.#server);
+			const server = this.#server;
+			server.close();
+			if (res) {
+				res.setHeader('connection', 'close').once('finish', () => {
+					server.closeAllConnections();
+				});
+				return;
+			}
+
+			server.closeAllConnections();
 		} else if (former === 'refused') {
 			this.#server = this.#createServer();
 			await openPort(this.#server, this.#port);
@@ -112,7 +124,7 @@
 		try {
 			const request = await receiveRequest(req);
 			if (request.url.pathname.startsWith('/-/')) {
-				sendResponse(res, await this.#serveControl(request));
+				sendResponse(res, await this.#serveControl(request, res));
 				return;
 			}
 
@@ -155,14 +167,20 @@
 		sendResponse(res, response);
 	}
 
-	async #serveControl({method, url, body}: PlatformRequest): Promise<PlatformResponse> {
+	async #serveControl(request: PlatformRequest, res: ServerResponse): Promise<PlatformResponse> {
+		const {method, url, body} = request;
+		const control = this.#protocol.controls?.[`${method} ${url.pathname}`];
+		if (control) {
+			return control(request);
+		}
+
 		if (method === 'PUT' && url.pathname === '/-/faults') {
 			const faults = parseFaults(body);
 			if (!faults) {
 				return {status: 400, body: 'The faults are malformed.\n'};
 			}
 
-			await this.update(faults);
+			await this.update(faults, res);
 		}
 
 		const shown: Readonly<Record<string, unknown>> = {'/-/faults': this.#faults, '/-/counts': this.#counts};
