fix(cli): end the shutdown when its remaining time is not a whole number

Every graceful shutdown with a table in the settings ended with ERR_OUT_OF_RANGE from AbortSignal.timeout, because the time left comes from a clock with fractions of a millisecond. The demo found it: its stopped entry host ended with exit code 1. The time is rounded down; npm run demo then ends with exit code 0.

--- a/packages/cli/src/host-claims.ts
+++ b/packages/cli/src/host-claims.ts
@@ -59,7 +59,7 @@
 			const timer = setInterval(() => {
 				logger.log(LogLevel.info, 'host-waiting', {requests: 0, claimWrites: true});
 			}, 1000);
-			await service.drain(AbortSignal.timeout(Math.max(0, Math.min(milliseconds, longestDrainMilliseconds))));
+			await service.drain(AbortSignal.timeout(Math.max(0, Math.floor(Math.min(milliseconds, longestDrainMilliseconds)))));
 			clearInterval(timer);
 			table.close();
 			objects.close();
