--- a/packages/bench/src/baselines/baseline-main.ts
+++ b/packages/bench/src/baselines/baseline-main.ts
@@ -38,6 +38,8 @@
 			}),
 			claims: {
 				claim: () => errAsync(createFailure('store-unavailable')),
+				recordDispatch: () => false,
+				recordNotRun: () => undefined,
 				finish: async () => undefined,
 				remove: async () => undefined,
 				drain: async () => undefined,
