test(bench): run the scenarios, and fail them without their mechanism

Each scenario file runs in one of four test files. Variants of the entry process in the tests folder switch one mechanism off each; the product has no such switch.

The relay left socket handles open when it reset a connection that was shut down before, so that the test process did not end; it destroys such sockets now.

--- a/packages/bench/src/scenarios/fleet.ts
+++ b/packages/bench/src/scenarios/fleet.ts
@@ -30,8 +30,9 @@
 			await fleet.#start();
 			return fleet;
 		} catch (error) {
+			const lastLines = [...fleet.entries.keys()].map(id => JSON.stringify(fleet.readLog(id).at(-1)));
 			await fleet.stop();
-			throw error;
+			throw new Error(`the fleet did not start; last log lines: ${lastLines.join(' ')}`, {cause: error});
 		}
 	}
 
--- /dev/null
+++ b/packages/bench/tests/scenarios/scenario-files.ts
@@ -0,0 +1,32 @@
+import fs from 'node:fs';
+import path from 'node:path';
+import {parseScenario, type Scenario} from '../../src/scenarios/parse-scenario.js';
+
+const directory = path.resolve(import.meta.dirname, '../../../../../scenarios');
+
+/**
+ * Reads a scenario of the repository.
+ *
+ * @param name - File name without its extension.
+ * @returns The scenario.
+ */
+export function readScenario(name: string): Scenario {
+	return parseScenario(fs.readFileSync(path.join(directory, `${name}.yaml`), 'utf8'), `scenarios/${name}.yaml`);
+}
+
+/**
+ * Lists the scenarios of the repository.
+ *
+ * @returns File names without their extension.
+ */
+export function listScenarios(): string[] {
+	return fs.readdirSync(directory).filter(file => file.endsWith('.yaml')).map(file => path.basename(file, '.yaml')).sort();
+}
+
+/** Groups of scenarios that run in one test file each, by the beginning of the file name. */
+export const scenarioGroups = {
+	endpoints: /^(?:connections|endpoint|response)-/v,
+	hosts: /^(?:allocator|answers|graceful|host|links|measuring)-/v,
+	payments: /^(?:claim|payment)-/v,
+	platform: /^(?:objects|table)-/v,
+} as const;
--- /dev/null
+++ b/packages/bench/tests/variants/without-quarantine.ts
@@ -0,0 +1,9 @@
+import {loadModule, runEntry} from './run-entry.js';
+
+type QuarantineModule = {readonly Quarantine: {readonly prototype: {record: () => void}}};
+
+/** An entry that forgets which requests crashed endpoints. */
+const {Quarantine} = await loadModule<QuarantineModule>('routing/dist/src/quarantine.js');
+Quarantine.prototype.record = () => undefined;
+
+await runEntry();
--- /dev/null
+++ b/packages/bench/tests/variants/without-unknown-outcome.ts
@@ -0,0 +1,9 @@
+import {resultCodes, type Outcome} from '@tanagerrail/results';
+import {runEntry} from './run-entry.js';
+
+/** An entry that says `not-run` of requests that may have run. */
+for (const id of ['outcome-unknown', 'endpoint-lost', 'endpoint-timeout'] as const) {
+	(resultCodes[id] as {outcome: Outcome}).outcome = 'not-run';
+}
+
+await runEntry();
--- a/packages/stand-ins/src/tcp-relay.ts
+++ b/packages/stand-ins/src/tcp-relay.ts
@@ -99,8 +99,8 @@
 	/** Breaks all open connections with a reset. */
 	reset(): void {
 		for (const {outer, inner} of this.#pairs) {
-			outer.resetAndDestroy();
-			inner.resetAndDestroy();
+			resetSocket(outer);
+			resetSocket(inner);
 		}
 
 		this.#pairs.clear();
@@ -206,3 +206,13 @@
 		return [this.#silenced, silenced].some(set => set.has(direction) || set.has(RelayDirection.both));
 	}
 }
+
+/** Breaks a connection; libuv cannot reset a socket that was shut down, and its handle would stay open. */
+function resetSocket(socket: Socket): void {
+	if (socket.writableEnded || socket.destroyed) {
+		socket.destroy();
+		return;
+	}
+
+	socket.resetAndDestroy();
+}
