--- a/packages/bench/tests/scenarios/scenario-files.test.ts
+++ b/packages/bench/tests/scenarios/scenario-files.test.ts
@@ -9,9 +9,20 @@
 
 	const proved = new Set(names.flatMap(name => readScenario(name).proves));
 	const subjects = [
-		'promise-2', 'promise-3', 'promise-4', 'promise-5', 'promise-6',
-		'endpoint-slow', 'endpoint-drains-without-warning', 'endpoint-fails-fast', 'table-down',
-		'table-slow', 'table-response-lost', 'objects-down', 'holder-paused', 'request-crashes-endpoints',
+		'promise-2',
+		'promise-3',
+		'promise-4',
+		'promise-5',
+		'promise-6',
+		'endpoint-slow',
+		'endpoint-drains-without-warning',
+		'endpoint-fails-fast',
+		'table-down',
+		'table-slow',
+		'table-response-lost',
+		'objects-down',
+		'holder-paused',
+		'request-crashes-endpoints',
 	];
 	for (const subject of subjects) {
 		t.ok(proved.has(subject), `${subject} has a scenario`);
