--- a/packages/stand-ins/src/endpoint-request.ts
+++ b/packages/stand-ins/src/endpoint-request.ts
@@ -1,5 +1,5 @@
 import {createHash} from 'node:crypto';
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {IncomingHttpHeaders, IncomingMessage, ServerResponse} from 'node:http';
 import {readWallClock, RunEnd, type EndpointRun} from './endpoint-run-log.js';
 
 /** Request header with the duration of the work in milliseconds. */
@@ -40,14 +40,12 @@
 	}
 
 	const body = Buffer.concat(chunks);
-	const key = req.headers['idempotency-key'];
-	const requestId = req.headers[requestIdHeader];
 	const timeout = req.headers['request-timeout'];
 	const run: EndpointRun = {
 		method: req.method ?? '',
 		target: req.url ?? '',
-		key: typeof key === 'string' ? key : undefined,
-		requestId: typeof requestId === 'string' ? requestId : undefined,
+		key: readHeader(req.headers, 'idempotency-key'),
+		requestId: readHeader(req.headers, requestIdHeader),
 		bodyHash: createHash('sha256').update(body).digest('hex'),
 		timeout: timeout === undefined ? undefined : Number(timeout),
 		receivedAt,
@@ -64,10 +62,15 @@
  * @returns A record that has ended.
  */
 export function describeUnheard({method, url, headers}: IncomingMessage): EndpointRun {
-	const key = headers['idempotency-key'];
 	return {
-		method: method ?? '', target: url ?? '',
-		key: typeof key === 'string' ? key : undefined, requestId: undefined, bodyHash: '', timeout: undefined, receivedAt: readWallClock(), end: RunEnd.unheard,
+		method: method ?? '',
+		target: url ?? '',
+		key: readHeader(headers, 'idempotency-key'),
+		requestId: readHeader(headers, requestIdHeader),
+		bodyHash: '',
+		timeout: undefined,
+		receivedAt: readWallClock(),
+		end: RunEnd.unheard,
 	};
 }
 
@@ -93,3 +96,8 @@
 	});
 	return controller.signal;
 }
+
+function readHeader(headers: IncomingHttpHeaders, name: string): string | undefined {
+	const value = headers[name];
+	return typeof value === 'string' ? value : undefined;
+}
