feat(edges): check settings and requests before anything runs, and serve TLS

Cause: a settings file with a mistake ended in a stack trace; requests that other programs read differently (dot segments, encoded separators, headers given twice) passed; and bytes that are not HTTP after a running request were answered with a refusal that the caller would take for the response of that request.

Ruled out: leaving the limit on the number of headers to Node.js, which drops the headers above it without a notice; watching certificate files by file notices, which are lost when a directory is replaced.

Change: settings are reported with file, line, field, value found and expected, all at once; docs/settings.md is written from the schema. SIGHUP and POST /-/log-filter change the log filter. Request heads are checked; pipelined requests are limited; a connection that carries a running request is closed instead of answered.

--- a/packages/cli/src/entry-host.ts
+++ b/packages/cli/src/entry-host.ts
@@ -6,7 +6,9 @@
 import {errAsync} from 'neverthrow';
 import type {ClaimService} from '@tanagerrail/claims';
 import type {Configuration} from '@tanagerrail/configuration';
-import {CallerListener, EndpointConnections, type RequestContext} from '@tanagerrail/http';
+import {
+	CallerListener, createListenerServer, EndpointConnections, TlsFiles, type RequestContext,
+} from '@tanagerrail/http';
 import {HostDirectory, PauseDetector} from '@tanagerrail/membership';
 import {AllocatorRegistry, SlotRouter, SlotServer} from '@tanagerrail/peers';
 import {createHttpHostList, createS3Objects, type ObjectStore} from '@tanagerrail/platform';
@@ -15,6 +17,7 @@
 import {
 	createLogger, createMetrics, LogLevel, readMonotonicClock, setCommonLogFields, setLogFilter,
 } from '@tanagerrail/telemetry';
+import {logFilterPath, serveLogFilter} from './host-controls.js';
 import {HostLevels, levelsPath} from './host-levels.js';
 import type {Settings} from './settings.js';
 
@@ -49,7 +52,9 @@
 	constructor(settings: Settings, configuration?: Configuration) {
 		this.#settings = settings;
 		this.#configuration = configuration;
-		const {host, keys, platform, metrics} = settings;
+		const {host, keys, platform, metrics, listen, limits} = settings;
+		const callerTls = listen.callers.tls && new TlsFiles(listen.callers.tls);
+		const peerTls = listen.peers.tls && new TlsFiles(listen.peers.tls);
 		setCommonLogFields({host: host.id, failureDomain: host.failureDomain});
 		setLogFilter(settings.log.filter);
 		this.#objects = platform.objects && createS3Objects(platform.objects);
@@ -76,13 +81,14 @@
 			registry: this.#registry,
 			clock,
 			key: keys.peers[0]!,
+			getAuthority: peerTls && (() => peerTls.contents?.authority),
 			getRevision,
 			onRevision,
 			checkPause: () => {
 				this.#pauseDetector.check();
 			},
 		});
-		this.#peerServer = createServer((_req, res) => {
+		this.#peerServer = createListenerServer({}, peerTls).on('request', (_req, res) => {
 			res.writeHead(404).end();
 		});
 		this.#slotServer = new SlotServer({
@@ -91,7 +97,9 @@
 		this.#adminServer = createServer((req, res) => {
 			this.#handleAdmin(req, res);
 		});
-		this.#listener = new CallerListener({context: this.#createContext(createMetrics({host: metrics.address, port: metrics.port, tags: {host: host.id}}))});
+		this.#listener = new CallerListener({
+			limits, tls: callerTls, context: this.#createContext(createMetrics({host: metrics.address, port: metrics.port, tags: {host: host.id}})),
+		});
 	}
 
 	/** Whether the host takes new work. */
@@ -207,6 +215,11 @@
 			return;
 		}
 
+		if (req.url === logFilterPath) {
+			void serveLogFilter(req, res, this.#settings.keys.admin);
+			return;
+		}
+
 		res.writeHead(404).end();
 	}
 }
--- /dev/null
+++ b/packages/cli/src/host-controls.ts
@@ -0,0 +1,76 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import process from 'node:process';
+import {text} from 'node:stream/consumers';
+import {keyHeader, verifyKey} from '@tanagerrail/peers';
+import {
+	buildProblemDetails, createFailure, problemMediaType, type Failure,
+} from '@tanagerrail/results';
+import {createLogger, LogLevel, setLogFilter} from '@tanagerrail/telemetry';
+import {loadSettings} from './load-settings.js';
+
+const logger = createLogger('host');
+
+/** Path of the log filter on the admin address. */
+export const logFilterPath = '/-/log-filter';
+
+/** Form of a filter: namespaces with `*` as wildcard, a leading `-` excludes. */
+const filterPattern = /^[\w:*,\- ]{0,1000}$/v;
+
+/**
+ * Serves a change of the log filter (`POST`, the filter as text) to an operator with a valid key.
+ *
+ * @param req - Request on the admin address.
+ * @param res - Response without a body, or problem details.
+ * @param keys - Valid admin keys.
+ */
+export async function serveLogFilter(req: IncomingMessage, res: ServerResponse, keys: readonly string[]): Promise<void> {
+	if (!verifyKey(req.headers[keyHeader], keys)) {
+		refuseCall(res, createFailure('peer-unauthorized'));
+		return;
+	}
+
+	const isShort = Number(req.headers['content-length'] ?? Infinity) <= 1000;
+	const filter = req.method === 'POST' && isShort ? await text(req) : undefined;
+	if (filter === undefined || !filterPattern.test(filter)) {
+		refuseCall(res, createFailure('request-malformed', {reason: 'a log filter is expected as the text of a POST'}));
+		return;
+	}
+
+	applyLogFilter(filter.trim(), 'admin call');
+	res.writeHead(204).end();
+}
+
+/**
+ * Reads the log filter of a settings file again on each SIGHUP. A file with mistakes changes nothing.
+ *
+ * @param file - Path of the settings file.
+ * @returns Stops it.
+ */
+export function watchLogFilter(file: string): () => void {
+	const reload = () => {
+		const loaded = loadSettings(file);
+		if (loaded.isOk()) {
+			applyLogFilter(loaded.value.settings.log.filter, 'SIGHUP');
+			return;
+		}
+
+		for (const failure of loaded.error) {
+			logger.logFailure(LogLevel.error, 'settings-not-reloaded', failure);
+		}
+	};
+
+	process.on('SIGHUP', reload);
+	return () => {
+		process.off('SIGHUP', reload);
+	};
+}
+
+function applyLogFilter(filter: string, source: string): void {
+	setLogFilter(filter);
+	logger.log(LogLevel.info, 'log-filter-changed', {filter, source});
+}
+
+function refuseCall(res: ServerResponse, failure: Failure): void {
+	const details = buildProblemDetails(failure);
+	res.writeHead(details.status, {'content-type': problemMediaType, connection: 'close'}).end(JSON.stringify(details));
+}
--- /dev/null
+++ b/packages/cli/src/load-settings.ts
@@ -0,0 +1,152 @@
+import fs from 'node:fs';
+import {closest} from 'fastest-levenshtein';
+import {err, ok, type Result} from 'neverthrow';
+import {
+	isMap, isNode, LineCounter, parseDocument, type Document,
+} from 'yaml';
+import type {z} from 'zod';
+import type {Configuration} from '@tanagerrail/configuration';
+import {TlsFiles} from '@tanagerrail/http';
+import {createFailure, type Failure} from '@tanagerrail/results';
+import {describeExpected, findSchemaNode} from './settings-fields.js';
+import {settingsSchema, type Settings} from './settings.js';
+
+/** Settings that have been checked, with the configuration they name. */
+export type LoadedSettings = {readonly settings: Settings; readonly configuration: Configuration | undefined};
+
+/** Where a settings file is and how its lines are found. */
+type Source = {readonly file: string; readonly document: Document; readonly lines: LineCounter};
+
+/** Fields whose values are never shown. */
+const secretSections = new Set<PropertyKey>(['keys']);
+
+/**
+ * Loads and checks a settings file.
+ *
+ * @param file - Path of the YAML file.
+ * @returns The settings, or all mistakes at once: `settings-unreadable`, `settings-invalid`, `settings-unknown-field`,
+ * `tls-unusable`.
+ */
+export function loadSettings(file: string): Result<LoadedSettings, Failure[]> {
+	return readText(file).andThen(text => parseSettings(file, text));
+}
+
+function readText(file: string): Result<string, Failure[]> {
+	try {
+		return ok(fs.readFileSync(file, 'utf8'));
+	} catch (error) {
+		return err([createFailure('settings-unreadable', {file, reason: (error as NodeJS.ErrnoException).code ?? 'unknown'})]);
+	}
+}
+
+function parseSettings(file: string, text: string): Result<LoadedSettings, Failure[]> {
+	const lines = new LineCounter();
+	const document = parseDocument(text, {lineCounter: lines, prettyErrors: false});
+	if (document.errors.length > 0) {
+		return err(document.errors.map(({pos, code}) => createFailure('settings-invalid', {
+			file, line: lines.linePos(pos[0]).line, field: 'document', found: code.toLowerCase().replaceAll('_', ' '), expected: 'valid YAML',
+		})));
+	}
+
+	const source: Source = {file, document, lines};
+	const parsed = settingsSchema.safeParse(convertDocument(document));
+	if (!parsed.success) {
+		return err(parsed.error.issues.flatMap(issue => describeIssue(issue, source)));
+	}
+
+	return loadConfiguration(parsed.data, source).andThen(configuration => {
+		const mistakes = [...checkShutdown(parsed.data, configuration, source), ...checkTls(parsed.data)];
+		return mistakes.length > 0 ? err(mistakes) : ok({settings: parsed.data, configuration});
+	});
+}
+
+function convertDocument(document: Document): unknown {
+	try {
+		return document.toJS({maxAliasCount: 100});
+	} catch {
+		return undefined;
+	}
+}
+
+function describeIssue(issue: z.core.$ZodIssue, source: Source): Failure[] {
+	const {file} = source;
+	if (issue.code === 'unrecognized_keys') {
+		const known = Object.keys(findSchemaNode(issue.path)?.properties ?? {});
+		return issue.keys.map(key => createFailure('settings-unknown-field', {
+			file, line: findLine([...issue.path, key], source), field: formatPath([...issue.path, key]), nearest: closest(key, known),
+		}));
+	}
+
+	const node = findSchemaNode(issue.path);
+	return [createFailure('settings-invalid', {
+		file, line: findLine(issue.path, source), field: formatPath(issue.path), found: describeFound(issue.path, source), expected: node ? describeExpected(node) : issue.message,
+	})];
+}
+
+/** The configuration that a host starts with decides how long its shutdown may have to wait. */
+function checkShutdown({shutdown}: Settings, configuration: Configuration | undefined, source: Source): Failure[] {
+	const longest = Math.max(0, ...(configuration?.services ?? []).flatMap(({workClasses}) => workClasses.map(({longestMilliseconds}) => longestMilliseconds)));
+	const path = ['shutdown', 'shutdownMilliseconds'];
+	return shutdown.shutdownMilliseconds >= longest
+		? []
+		: [createFailure('settings-invalid', {
+			file: source.file,
+			line: findLine(path, source),
+			field: formatPath(path),
+			found: shutdown.shutdownMilliseconds,
+			expected: `at least ${longest}, the longest duration of any work class`,
+		})];
+}
+
+function checkTls({listen}: Settings): Failure[] {
+	return [listen.callers.tls, listen.peers.tls]
+		.filter(tls => tls !== undefined)
+		.flatMap(tls => new TlsFiles(tls).read().match<Failure[]>(() => [], failure => [failure]));
+}
+
+function loadConfiguration({initialConfigurationFile: file}: Settings, source: Source): Result<Configuration | undefined, Failure[]> {
+	if (file === undefined) {
+		return ok(undefined);
+	}
+
+	return readText(file).andThen(text => {
+		try {
+			return ok(JSON.parse(text) as Configuration);
+		} catch {
+			return err([createFailure('settings-invalid', {
+				file: source.file, line: findLine(['initialConfigurationFile'], source), field: 'initialConfigurationFile', found: `a file that is not JSON (${file})`, expected: 'a JSON file',
+			})]);
+		}
+	});
+}
+
+function formatPath(path: readonly PropertyKey[]): string {
+	return path.length === 0 ? 'document' : path.map(String).join('.');
+}
+
+/** The line of a field, or of the nearest section around it when the field is missing. */
+function findLine(path: readonly PropertyKey[], {document, lines}: Source): number {
+	for (let {length} = path; length > 0; length--) {
+		const parent = document.getIn(path.slice(0, length - 1), true) ?? document.contents;
+		const pair = isMap(parent) ? parent.items.find(({key}) => String(key) === String(path[length - 1])) : undefined;
+		const node = pair ? pair.key : document.getIn(path.slice(0, length), true);
+		if (isNode(node) && node.range) {
+			return lines.linePos(node.range[0]).line;
+		}
+	}
+
+	return 1;
+}
+
+function describeFound(path: readonly PropertyKey[], {document}: Source): string {
+	const value: unknown = path.length === 0 ? convertDocument(document) : document.getIn(path);
+	if (value === undefined) {
+		return 'nothing';
+	}
+
+	if (secretSections.has(path[0]!)) {
+		return typeof value === 'string' ? `a text of ${value.length} characters` : 'another kind of value';
+	}
+
+	return typeof value === 'object' && value !== null ? 'a section or list' : JSON.stringify(value);
+}
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,27 +1,28 @@
 #!/usr/bin/env node
-import fs from 'node:fs';
 import process from 'node:process';
 import {cac} from 'cac';
-import {parse} from 'yaml';
-import type {Configuration} from '@tanagerrail/configuration';
-import {formatFailure, resultCodes} from '@tanagerrail/results';
+import {
+	createFailure, formatFailure, resultCodes, type Failure,
+} from '@tanagerrail/results';
 import {runReportCommand, type ReportCommandOptions} from './commands/report-command.js';
 import {EntryHost, stopOnSignal} from './entry-host.js';
-import {settingsSchema} from './settings.js';
+import {watchLogFilter} from './host-controls.js';
+import {loadSettings, type LoadedSettings} from './load-settings.js';
 
 const program = cac('tanagerrail');
 
 program
 	.command('entry', 'Run an entry host')
 	.option('--settings <file>', 'Settings file (YAML)')
-	.action(async ({settings: file}: {settings: string}) => {
-		const settings = settingsSchema.parse(parse(fs.readFileSync(file, 'utf8')));
-		const {initialConfigurationFile} = settings;
-		const configuration = initialConfigurationFile === undefined
-			? undefined
-			: JSON.parse(fs.readFileSync(initialConfigurationFile, 'utf8')) as Configuration;
-		const host = new EntryHost(settings, configuration);
+	.action(async ({settings: file}: {settings?: string}) => {
+		const loaded = readSettings(file);
+		if (!loaded) {
+			return;
+		}
+
+		const host = new EntryHost(loaded.settings, loaded.configuration);
 		stopOnSignal(host);
+		watchLogFilter(file!);
 		await host.start();
 	});
 program
@@ -29,15 +30,35 @@
 	.option('--settings <file>', 'Settings file (YAML)')
 	.option('--json', 'Print JSON')
 	.option('--html <file>', 'Write a self-contained HTML page')
-	.action(async ({settings: file, ...options}: {settings: string} & ReportCommandOptions) => {
-		const result = await runReportCommand(settingsSchema.parse(parse(fs.readFileSync(file, 'utf8'))), options);
-		if (result.isErr()) {
-			process.stderr.write(`${resultCodes[result.error.id].number} ${formatFailure(result.error)}\n`);
-			process.exitCode = 1;
+	.action(async ({settings: file, ...options}: {settings?: string} & ReportCommandOptions) => {
+		const loaded = readSettings(file);
+		const result = loaded && await runReportCommand(loaded.settings, options);
+		if (result?.isErr()) {
+			printFailures([result.error]);
 		}
 	});
 program.help();
 
+function readSettings(file: string | undefined): LoadedSettings | undefined {
+	if (file === undefined) {
+		printFailures([createFailure('usage-invalid', {reason: '--settings FILE is missing'})]);
+		return undefined;
+	}
+
+	return loadSettings(file).match<LoadedSettings | undefined>(loaded => loaded, failures => {
+		printFailures(failures);
+		return undefined;
+	});
+}
+
+function printFailures(failures: readonly Failure[]): void {
+	for (const failure of failures) {
+		process.stderr.write(`${resultCodes[failure.id].number} ${formatFailure(failure)}\n`);
+	}
+
+	process.exitCode = 1;
+}
+
 async function runMain(): Promise<void> {
 	program.parse(process.argv, {run: false});
 	await program.runMatchedCommand();
--- a/packages/http/src/caller-listener.ts
+++ b/packages/http/src/caller-listener.ts
@@ -1,7 +1,5 @@
 import {randomUUID} from 'node:crypto';
-import {
-	createServer, type IncomingMessage, type Server, type ServerResponse,
-} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {err, ok, type Result} from 'neverthrow';
 import {matchRoute} from '@tanagerrail/configuration';
@@ -10,11 +8,14 @@
 } from '@tanagerrail/results';
 import {createLogger, LogLevel} from '@tanagerrail/telemetry';
 import type {CallerRequest} from './caller-request.js';
+import {checkHead} from './check-head.js';
+import {createListenerServer} from './create-listener-server.js';
 import {readBody} from './read-body.js';
 import type {RequestContext} from './request-context.js';
 import {defaultRequestLimits, type RequestLimits} from './request-limits.js';
 import {serveIdempotent} from './serve-idempotent.js';
 import {serveKeyed} from './serve-keyed.js';
+import type {TlsFiles} from './tls-files.js';
 
 const logger = createLogger('http');
 
@@ -24,30 +25,41 @@
 	readonly limits: RequestLimits;
 	/** Whether new work is taken. */
 	readonly isReady: () => boolean;
+	/** Certificate and key; without them callers are served over plain TCP. */
+	readonly tls?: TlsFiles;
 };
 
+/** Requests on one connection: all in progress, those that may run at an endpoint, and whether no further one may. */
+type ConnectionUse = {inProgress: number; dispatched: number; isRefused: boolean};
+
 /** Receives the requests of callers. */
 export class CallerListener {
 	readonly #options: CallerListenerOptions;
 	readonly #server: Server;
+	readonly #uses = new WeakMap<Socket, ConnectionUse>();
 	#inProgress = 0;
 	#isDraining = false;
 
 	constructor(options: Partial<CallerListenerOptions> & Pick<CallerListenerOptions, 'context'>) {
 		this.#options = {limits: defaultRequestLimits, isReady: () => true, ...options};
-		const {limits} = this.#options;
-		this.#server = createServer({
+		const {limits, tls} = this.#options;
+		this.#server = createListenerServer({
 			maxHeaderSize: limits.headerBytes,
 			headersTimeout: limits.headersMilliseconds,
 			requestTimeout: limits.requestMilliseconds,
-			connectionsCheckingInterval: 1000,
+			connectionsCheckingInterval: Math.min(1000, limits.headersMilliseconds),
 			insecureHTTPParser: false,
 			requireHostHeader: true,
-		}, (req, res) => {
+		}, tls, limits.headersMilliseconds);
+		this.#server.maxConnections = limits.connections;
+		// Node.js drops the headers above its limit without a notice; their size is limited instead.
+		this.#server.maxHeadersCount = 0;
+		this.#server.on('request', (req, res) => {
 			void this.#handle(req, res);
 		});
-		this.#server.maxConnections = limits.connections;
-		this.#server.on('clientError', refuseMalformed);
+		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+			this.#refuseConnection(error, socket);
+		});
 	}
 
 	/** Requests that have not been answered in full. */
@@ -91,7 +103,12 @@
 		const {clock} = this.#options.context;
 		const arrivedAt = clock();
 		const id = randomUUID();
+		const use = this.#getUse(req.socket);
 		this.#inProgress += 1;
+		use.inProgress += 1;
+		res.once('close', () => {
+			use.inProgress -= 1;
+		});
 		if (this.#isDraining) {
 			res.setHeader('connection', 'close');
 		}
@@ -103,6 +120,16 @@
 				return;
 			}
 
+			// The connection was answered with a refusal that says that nothing ran.
+			if (use.isRefused) {
+				res.destroy();
+				return;
+			}
+
+			use.dispatched += 1;
+			res.once('close', () => {
+				use.dispatched -= 1;
+			});
 			await this.#serve(received.value, res);
 		} catch (error) {
 			logger.log(LogLevel.error, 'internal-error', {request: id, reason: String(error)});
@@ -119,8 +146,13 @@
 		const {context, limits, isReady} = this.#options;
 		const method = req.method ?? 'GET';
 		const target = req.url ?? '/';
-		if (!/^\/[!-~]*$/v.test(target)) {
-			return err(createFailure('request-malformed', {reason: 'the target is not an absolute path'}));
+		const checked = checkHead(req);
+		if (checked.isErr()) {
+			return err(checked.error);
+		}
+
+		if (this.#getUse(req.socket).inProgress > limits.pipelinedRequests) {
+			return err(createFailure('pipeline-full', {limit: limits.pipelinedRequests}));
 		}
 
 		const configuration = context.getConfiguration();
@@ -191,22 +223,37 @@
 		});
 		res.end(body);
 	}
-}
 
-function refuseMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
-	if (error.code === 'ECONNRESET' || !socket.writable) {
-		socket.destroy();
-		return;
+	#getUse(socket: Socket): ConnectionUse {
+		const known = this.#uses.get(socket);
+		if (known) {
+			return known;
+		}
+
+		const use = {inProgress: 0, dispatched: 0, isRefused: false};
+		this.#uses.set(socket, use);
+		return use;
 	}
 
-	const failure = clientErrors[error.code ?? ''] ?? createFailure('request-malformed', {reason: 'it is not valid HTTP/1.1'});
-	const details = buildProblemDetails(failure);
-	const body = JSON.stringify(details);
-	socket.end(`HTTP/1.1 ${details.status} Refused\r\ncontent-type: ${problemMediaType}\r\ncontent-length: ${Buffer.byteLength(body)}\r\n`
-		+ `tanagerrail-outcome: ${details.outcome}\r\nconnection: close\r\n\r\n${body}`);
-}
+	/** Answers bytes that are not HTTP. While a former request of the connection runs, the refusal would pass for its response. */
+	#refuseConnection({code = ''}: NodeJS.ErrnoException, socket: Socket): void {
+		const use = this.#getUse(socket);
+		use.isRefused = true;
+		if (code === 'ECONNRESET' || !socket.writable || use.dispatched > 0 || use.inProgress > 1) {
+			socket.destroy();
+			return;
+		}
 
-const clientErrors: Readonly<Record<string, Failure>> = {
-	HPE_HEADER_OVERFLOW: createFailure('headers-too-large', {limit: defaultRequestLimits.headerBytes}),
-	ERR_HTTP_REQUEST_TIMEOUT: createFailure('request-timeout', {limit: defaultRequestLimits.requestMilliseconds}),
-};
+		const {headerBytes, requestMilliseconds} = this.#options.limits;
+		const failures: Readonly<Record<string, Failure>> = {
+			HPE_HEADER_OVERFLOW: createFailure('headers-too-large', {limit: headerBytes}),
+			ERR_HTTP_REQUEST_TIMEOUT: createFailure('request-timeout', {limit: requestMilliseconds}),
+		};
+		const details = buildProblemDetails(failures[code] ?? createFailure('request-malformed', {reason: 'it is not valid HTTP/1.1'}));
+		const body = JSON.stringify(details);
+		socket.end(`HTTP/1.1 ${details.status} Refused\r\ncontent-type: ${problemMediaType}\r\ncontent-length: ${Buffer.byteLength(body)}\r\n`
+			+ `tanagerrail-outcome: ${details.outcome}\r\nconnection: close\r\n\r\n${body}`, () => {
+			socket.destroy();
+		});
+	}
+}
--- a/packages/http/src/request-limits.ts
+++ b/packages/http/src/request-limits.ts
@@ -10,6 +10,8 @@
 	readonly requestMilliseconds: number;
 	/** Open connections of callers. */
 	readonly connections: number;
+	/** Requests in progress on one connection. */
+	readonly pipelinedRequests: number;
 };
 
 /** Defaults of {@link RequestLimits}. */
@@ -19,4 +21,5 @@
 	headersMilliseconds: 5000,
 	requestMilliseconds: 30_000,
 	connections: 10_000,
+	pipelinedRequests: 16,
 };
--- a/packages/peers/src/slot-link.ts
+++ b/packages/peers/src/slot-link.ts
@@ -26,6 +26,8 @@
 	readonly peerId: string;
 	readonly peerAddress: string;
 	readonly key: string;
+	/** Returns the certificate authorities of peers as PEM; links use TLS when it is given. */
+	readonly getAuthority?: () => string | undefined;
 	readonly clock: Clock;
 	readonly getRevision: () => number;
 	/** Builds the first message of a connection. */
@@ -228,9 +230,9 @@
 	}
 
 	async #runConnection(): Promise<void> {
-		const {peerAddress, key, silenceMilliseconds} = this.#options;
-		const socket = new WebSocket(`ws://${peerAddress}${slotPath}`, {
-			headers: {[keyHeader]: key}, perMessageDeflate: false, handshakeTimeout: silenceMilliseconds,
+		const {peerAddress, key, silenceMilliseconds, getAuthority} = this.#options;
+		const socket = new WebSocket(`${getAuthority ? 'wss' : 'ws'}://${peerAddress}${slotPath}`, {
+			headers: {[keyHeader]: key}, perMessageDeflate: false, handshakeTimeout: silenceMilliseconds, ca: getAuthority?.(),
 		});
 		this.#socket = socket;
 		const closed = new Promise<void>(resolve => {
--- a/packages/peers/src/slot-router.ts
+++ b/packages/peers/src/slot-router.ts
@@ -18,6 +18,8 @@
 	readonly registry: AllocatorRegistry;
 	readonly clock: Clock;
 	readonly key: string;
+	/** Returns the certificate authorities of peers as PEM; links use TLS when it is given. */
+	readonly getAuthority?: () => string | undefined;
 	readonly getRevision: () => number;
 	readonly onRevision: (revision: number, hostId: string) => void;
 	/** Looks for a pause of the process before a grant is used. */
@@ -197,7 +199,7 @@
 	}
 
 	#getLink(id: string): SlotLink | undefined {
-		const {directory, key, clock, getRevision, onRevision} = this.#options;
+		const {directory, key, getAuthority, clock, getRevision, onRevision} = this.#options;
 		const peerAddress = directory.find(id)?.peerAddress;
 		const known = this.#links.get(id);
 		if (known ?? peerAddress === undefined) {
@@ -208,6 +210,7 @@
 			peerId: id,
 			peerAddress,
 			key,
+			getAuthority,
 			clock,
 			getRevision,
 			onRevision,
--- a/packages/results/src/result-codes.ts
+++ b/packages/results/src/result-codes.ts
@@ -38,6 +38,9 @@
 	'not-ready': {
 		number: 1007, status: 503, outcome: Outcome.notRun, message: 'The host knows no configuration yet or is shutting down.',
 	},
+	'pipeline-full': {
+		number: 1008, status: 429, outcome: Outcome.notRun, message: 'More than {limit} requests are in progress on this connection.',
+	},
 	'queue-full': {
 		number: 2001, status: 503, outcome: Outcome.notRun, message: 'The expected wait of {wait} ms for service {service} is longer than the request allows.',
 	},
@@ -146,6 +149,9 @@
 	'settings-unknown-field': {
 		number: 7003, status: 400, outcome: Outcome.notRun, message: '{file}:{line}: {field} is not a known field; the nearest is {nearest}.',
 	},
+	'tls-unusable': {
+		number: 7005, status: 400, outcome: Outcome.notRun, message: 'Certificate {certificate} with key {key} cannot be used: {reason}.',
+	},
 	'usage-invalid': {
 		number: 7004, status: 400, outcome: Outcome.notRun, message: 'The command line is invalid: {reason}.',
 	},
--- a/packages/telemetry/src/log-messages.ts
+++ b/packages/telemetry/src/log-messages.ts
@@ -26,6 +26,8 @@
 	'snapshot-unreadable': 'A snapshot of service-level counts cannot be read; the report leaves it out.',
 	'invariant-violated': 'An invariant does not hold.',
 	'internal-error': 'An unexpected error occurred.',
+	'log-filter-changed': 'The log filter was changed.',
+	'settings-not-reloaded': 'The settings file has mistakes and is not read again.',
 	'tls-reloaded': 'Certificate and key files were read again.',
 	'tls-unreadable': 'Certificate or key files cannot be read; the former ones stay in use.',
 } as const;
--- a/tools/write-pages.mjs
+++ b/tools/write-pages.mjs
@@ -1,4 +1,5 @@
 import fs from 'node:fs';
+import {formatFieldRow, listSettingsFields} from '../packages/cli/dist/src/settings-fields.js';
 import {resultCodes} from '../packages/results/dist/src/index.js';
 import {verbs} from './lint/verbs.js';
 
@@ -19,3 +20,17 @@
 const glossary = fs.readFileSync('docs/glossary.md', 'utf8');
 const start = glossary.indexOf('<!-- verbs -->');
 fs.writeFileSync('docs/glossary.md', `${glossary.slice(0, start)}<!-- verbs -->\n\n${verbs.map(verb => `\`${verb}\``).join(', ')}\n`);
+
+fs.writeFileSync('docs/settings.md', `# Settings
+
+Written by \`node tools/write-pages.mjs\` from \`packages/cli/src/settings.ts\`. The file is YAML and is named with \`--settings FILE\`.
+A mistake is reported as \`CODE FILE:LINE: FIELD: found VALUE, expected VALUE.\`; all mistakes are reported at once, and nothing starts with an invalid file.
+An unknown field is an error that names the nearest known one. Values of keys are never shown.
+
+\`SIGHUP\` reads \`log.filter\` again; \`POST /-/log-filter\` on the admin address with an admin key in the header \`tanagerrail-key\` sets it to the text of the body.
+Other fields take effect at the next start. Certificate and key files are read again when they change.
+
+| field | value | unit | default | meaning |
+|---|---|---|---|---|
+${listSettingsFields().map(field => formatFieldRow(field)).join('\n')}
+`);
