--- a/packages/cli/src/entry-host.ts
+++ b/packages/cli/src/entry-host.ts
@@ -3,8 +3,6 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import process from 'node:process';
-import {errAsync} from 'neverthrow';
-import type {ClaimService} from '@tanagerrail/claims';
 import type {Configuration} from '@tanagerrail/configuration';
 import {
 	CallerListener, createListenerServer, EndpointConnections, TlsFiles, type RequestContext,
@@ -12,11 +10,11 @@
 import {HostDirectory, PauseDetector} from '@tanagerrail/membership';
 import {AllocatorRegistry, SlotRouter, SlotServer} from '@tanagerrail/peers';
 import {createHttpHostList, createS3Objects, type ObjectStore} from '@tanagerrail/platform';
-import {createFailure} from '@tanagerrail/results';
 import {RetryBudget} from '@tanagerrail/routing';
 import {
 	createLogger, createMetrics, LogLevel, readMonotonicClock, setCommonLogFields, setLogFilter,
 } from '@tanagerrail/telemetry';
+import {createHostClaims, type HostClaims} from './host-claims.js';
 import {logFilterPath, serveLogFilter} from './host-controls.js';
 import {HostLevels, levelsPath} from './host-levels.js';
 import type {Settings} from './settings.js';
@@ -36,6 +34,7 @@
 	readonly #router: SlotRouter;
 	readonly #slotServer: SlotServer;
 	readonly #listener: CallerListener;
+	readonly #claims: HostClaims;
 	readonly #connections = new EndpointConnections({
 		clock, connections: 200, connectTimeout: 250, idleTimeout: 30_000,
 	});
@@ -57,13 +56,16 @@
 		const peerTls = listen.peers.tls && new TlsFiles(listen.peers.tls);
 		setCommonLogFields({host: host.id, failureDomain: host.failureDomain});
 		setLogFilter(settings.log.filter);
-		this.#objects = platform.objects && createS3Objects(platform.objects);
+		this.#objects = platform.objects && createS3Objects({...platform.objects, ...(platform.credentials && {credentials: platform.credentials})});
 		this.#levels = new HostLevels({
 			hostId: host.id, incarnation: this.#incarnation, getConfiguration: () => this.#configuration, objects: this.#objects, getAdminKeys: () => keys.admin,
 		});
 		const getRevision = () => this.#configuration?.revision ?? 0;
 		const onRevision = () => undefined;
 		this.#directory = new HostDirectory({hostList: createHttpHostList({url: platform.hostList.url}), clock});
+		this.#claims = createHostClaims({
+			settings, incarnation: this.#incarnation, directory: this.#directory, getConfiguration: () => this.#configuration,
+		});
 		this.#registry = new AllocatorRegistry({
 			hostId: host.id, directory: this.#directory, clock, getConfiguration: () => this.#configuration,
 		});
@@ -145,6 +147,7 @@
 			}
 		}
 
+		await this.#claims.close(shutdownMilliseconds - (clock() - startedAt));
 		await this.#levels.stop();
 		logger.log(LogLevel.info, 'host-stopped', {cutOff: this.#listener.inProgress});
 		this.#close();
@@ -170,7 +173,7 @@
 			clock,
 			slots: this.#router,
 			connections: this.#connections,
-			claims: createUnavailableClaims(),
+			claims: this.#claims.service,
 			metrics,
 			getConfiguration: () => this.#configuration,
 			getRetryBudget: service => this.#getRetryBudget(service),
@@ -239,15 +242,6 @@
 	});
 }
 
-function createUnavailableClaims(): ClaimService {
-	return {
-		claim: () => errAsync(createFailure('store-unavailable')),
-		finish: async () => undefined,
-		remove: async () => undefined,
-		drain: async () => undefined,
-	};
-}
-
 /**
  * Stops a host when the process is told to end.
  *
--- a/packages/cli/src/load-settings.ts
+++ b/packages/cli/src/load-settings.ts
@@ -18,7 +18,7 @@
 type Source = {readonly file: string; readonly document: Document; readonly lines: LineCounter};
 
 /** Fields whose values are never shown. */
-const secretSections = new Set<PropertyKey>(['keys']);
+const secretSections = new Set<PropertyKey>(['keys', 'credentials']);
 
 /**
  * Loads and checks a settings file.
@@ -144,7 +144,7 @@
 		return 'nothing';
 	}
 
-	if (secretSections.has(path[0]!)) {
+	if (path.some(name => secretSections.has(name))) {
 		return typeof value === 'string' ? `a text of ${value.length} characters` : 'another kind of value';
 	}
 
--- a/packages/cli/src/report/collect-levels.ts
+++ b/packages/cli/src/report/collect-levels.ts
@@ -73,12 +73,12 @@
 
 type StoredSnapshots = {readonly snapshots: LevelSnapshot[]; readonly unreadable: string[]; readonly warning?: string};
 
-async function readStored({objects}: Settings['platform']): Promise<StoredSnapshots> {
+async function readStored({objects, credentials}: Settings['platform']): Promise<StoredSnapshots> {
 	if (!objects) {
 		return {snapshots: [], unreadable: []};
 	}
 
-	const store = createS3Objects(objects);
+	const store = createS3Objects({...objects, ...(credentials && {credentials})});
 	const stored = await new SnapshotStore(store).readAll();
 	store.close();
 	return stored.match<StoredSnapshots>(value => value, failure => ({
--- a/packages/cli/src/settings.ts
+++ b/packages/cli/src/settings.ts
@@ -54,6 +54,10 @@
 			url: z.url().meta({description: 'Object store (S3 protocol)'}),
 			bucket: z.string().default('tanagerrail').meta({description: 'Name of the bucket'}),
 		}).optional().meta({description: 'Object store; without it, service-level counts end with the process'}),
+		credentials: z.strictObject({
+			accessKeyId: z.string().min(1).meta({description: 'Id of the access key'}),
+			secretAccessKey: z.string().min(1).meta({description: 'Secret of the access key', unit: 'secret text'}),
+		}).optional().meta({description: 'Sign the calls to the table service and the object store'}),
 	}),
 	metrics: z.strictObject({
 		address: z.string().optional().meta({description: 'IP address of a StatsD server; without it no metrics are sent'}),
--- a/packages/cli/tests/load-settings.test.ts
+++ b/packages/cli/tests/load-settings.test.ts
@@ -32,8 +32,11 @@
 			'7001 FILE:7: keys.peers.0: found a text of 6 characters, expected a text of at least 16 characters.',
 			'7001 FILE:8: keys.admin: found another kind of value, expected a list of 1 to 2 items, each a text of at least 16 characters.',
 		]],
-		['missing section', valid.replace(/platform:[\s\S]*/v, ''), ['7001 FILE:1: platform: found nothing, expected a section with hostList, table, objects.']],
+		['missing section', valid.replace(/platform:[\s\S]*/v, ''), ['7001 FILE:1: platform: found nothing, expected a section with hostList, table, objects, credentials.']],
 		['unknown section', `${valid}shutdwn: {}\n`, ['7003 FILE:11: shutdwn is not a known field; the nearest is shutdown.']],
+		['secret of the wrong type', `${valid}  credentials: {accessKeyId: a, secretAccessKey: 271828}\n`, [
+			'7001 FILE:11: platform.credentials.secretAccessKey: found another kind of value, expected a text of at least 1 character.',
+		]],
 		['not YAML', `${valid}  bad: [`, ['7001 FILE:11: document: found bad indent, expected valid YAML.']],
 		['empty', '', ['7001 FILE:1: document: found null, expected a section with host, listen, keys, limits, platform, metrics, log, shutdown, initialConfigurationFile.']],
 		['shutdown shorter than work', `${valid}initialConfigurationFile: ${directory}/long.json\nshutdown:\n  shutdownMilliseconds: 89999\n`, [
--- a/packages/cli/tests/tls.test.ts
+++ b/packages/cli/tests/tls.test.ts
@@ -107,7 +107,7 @@
 			buildHello: () => ({
 				type: 'hello', hostId: 'b', incarnation: 'b-1', failureDomain: 'x', held: [], crashes: [], drains: [],
 			}),
-			onRevision: () => undefined, onGoodbye: () => undefined, onCrashes: () => undefined, onDrain: () => undefined,
+			onRevision: () => undefined, onGoodbye: () => undefined, onNotice: () => undefined, onClosed: () => undefined,
 		});
 		links.push(link);
 		void link.run();
--- a/packages/http/tests/caller-listener.test.ts
+++ b/packages/http/tests/caller-listener.test.ts
@@ -51,7 +51,12 @@
 				clock: readMonotonicClock, connections: 1, connectTimeout: 1, idleTimeout: 1,
 			}),
 			claims: {
-				claim: () => errAsync(createFailure('store-unavailable')), finish: async () => undefined, remove: async () => undefined, drain: async () => undefined,
+				claim: () => errAsync(createFailure('store-unavailable')),
+				recordDispatch: () => false,
+				recordNotRun: () => undefined,
+				finish: async () => undefined,
+				remove: async () => undefined,
+				drain: async () => undefined,
 			},
 			metrics: createMetrics(),
 			getConfiguration: () => configuration,
