--- a/packages/cli/src/entry-host.ts
+++ b/packages/cli/src/entry-host.ts
@@ -17,6 +17,7 @@
 import {createHostClaims, type HostClaims} from './host-claims.js';
 import {logFilterPath, serveLogFilter} from './host-controls.js';
 import {HostLevels, levelsPath} from './host-levels.js';
+import {HostMetrics} from './host-metrics.js';
 import type {Settings} from './settings.js';
 
 const logger = createLogger('host');
@@ -41,6 +42,7 @@
 
 	readonly #objects: ObjectStore | undefined;
 	readonly #levels: HostLevels;
+	readonly #metrics: HostMetrics;
 	readonly #peerServer: Server;
 	readonly #adminServer: Server;
 	readonly #pauseDetector: PauseDetector;
@@ -99,9 +101,9 @@
 		this.#adminServer = createServer((req, res) => {
 			this.#handleAdmin(req, res);
 		});
-		this.#listener = new CallerListener({
-			limits, tls: callerTls, context: this.#createContext(createMetrics({host: metrics.address, port: metrics.port, tags: {host: host.id}})),
-		});
+		const client = createMetrics({host: metrics.address, port: metrics.port, tags: {host: host.id}});
+		this.#listener = new CallerListener({limits, tls: callerTls, context: this.#createContext(client)});
+		this.#metrics = new HostMetrics({metrics: client, clock, getInProgress: () => this.#listener.inProgress});
 	}
 
 	/** Whether the host takes new work. */
@@ -118,6 +120,7 @@
 		const {listen} = this.#settings;
 		this.#pauseDetector.start();
 		this.#levels.start();
+		this.#metrics.start();
 		await this.#directory.start();
 		const peers = await openListener(this.#peerServer, listen.peers);
 		const admin = await openListener(this.#adminServer, listen.admin);
@@ -162,6 +165,7 @@
 		this.#pauseDetector.stop();
 		this.#connections.close();
 		this.#objects?.close();
+		this.#metrics.stop();
 		this.#peerServer.close();
 		this.#adminServer.close();
 		this.#adminServer.closeAllConnections();
--- /dev/null
+++ b/packages/cli/src/host-metrics.ts
@@ -0,0 +1,72 @@
+import process from 'node:process';
+import type {MeasuringCost} from '@tanagerrail/measuring';
+import {listViolations, type Clock, type Metrics} from '@tanagerrail/telemetry';
+
+/** Options of {@link HostMetrics}. */
+export type HostMetricsOptions = {
+	readonly metrics: Metrics;
+	readonly clock: Clock;
+	readonly getInProgress: () => number;
+	/** Time between two reports, in milliseconds. */
+	readonly intervalMilliseconds: number;
+};
+
+/** Defaults of {@link HostMetricsOptions}. */
+export const defaultHostMetricsOptions = {intervalMilliseconds: 10_000};
+
+/** Reports the state of the process at intervals, and the cost of measuring. */
+export class HostMetrics {
+	readonly #options: HostMetricsOptions;
+	#usage = process.cpuUsage();
+	#reportedAt: number;
+	#timer: NodeJS.Timeout | undefined;
+
+	constructor(options: Partial<HostMetricsOptions> & Omit<HostMetricsOptions, 'intervalMilliseconds'>) {
+		this.#options = {...defaultHostMetricsOptions, ...options};
+		this.#reportedAt = this.#options.clock();
+	}
+
+	/** Begins to report. */
+	start(): void {
+		this.#timer ??= setInterval(() => {
+			this.report();
+		}, this.#options.intervalMilliseconds).unref();
+	}
+
+	/** Reports once more and closes the client. */
+	stop(): void {
+		clearInterval(this.#timer);
+		this.report();
+		this.#options.metrics.close();
+	}
+
+	/** Reports the gauges. */
+	report(): void {
+		const {metrics, clock, getInProgress} = this.#options;
+		const usage = process.cpuUsage();
+		const now = clock();
+		const microseconds = usage.user + usage.system - this.#usage.user - this.#usage.system;
+		metrics.setGauge('request.in_progress', getInProgress());
+		metrics.setGauge('process.resident_memory', process.memoryUsage.rss());
+		metrics.setGauge('process.processor_share', microseconds / 1000 / Math.max(1, now - this.#reportedAt));
+		for (const [invariant, count] of Object.entries(listViolations())) {
+			metrics.setGauge('invariant.violations', count, {invariant});
+		}
+
+		this.#usage = usage;
+		this.#reportedAt = now;
+	}
+
+	/**
+	 * Records what measuring cost in one second.
+	 *
+	 * @param service - Name of the service.
+	 * @param cost - The cost.
+	 */
+	recordCost(service: string, {messages, bytes, processorMilliseconds}: MeasuringCost): void {
+		const {metrics} = this.#options;
+		metrics.count('measuring.messages', messages, {service});
+		metrics.count('measuring.bytes', bytes, {service});
+		metrics.recordTiming('measuring.processor_time', processorMilliseconds, {service});
+	}
+}
--- a/packages/http/src/caller-listener.ts
+++ b/packages/http/src/caller-listener.ts
@@ -116,6 +116,7 @@
 		try {
 			const received = await this.#receive(req, res, {id, arrivedAt});
 			if (received.isErr()) {
+				this.#countMalformed(received.error);
 				this.#refuse(res, received.error, {id});
 				return;
 			}
@@ -198,11 +199,13 @@
 			this.#refuse(res, served.error, {id: request.id});
 		}
 
+		const status = served.isErr() ? resultCodes[served.error.id].status : served.value;
+		context.metrics.count('request.finished', 1, {...tags, status_class: `${Math.floor(status / 100)}xx`});
 		context.record({
 			service: service.name,
 			workClass: workClass.name,
 			milliseconds,
-			status: served.isErr() ? resultCodes[served.error.id].status : served.value,
+			status,
 			code: served.isErr() ? resultCodes[served.error.id].number : undefined,
 			waitMilliseconds: 0,
 		});
@@ -224,6 +227,10 @@
 		res.end(body);
 	}
 
+	#countMalformed({id}: Failure): void {
+		this.#options.context.metrics.count('request.malformed', 1, {code: String(resultCodes[id].number)});
+	}
+
 	#getUse(socket: Socket): ConnectionUse {
 		const known = this.#uses.get(socket);
 		if (known) {
@@ -249,7 +256,9 @@
 			HPE_HEADER_OVERFLOW: createFailure('headers-too-large', {limit: headerBytes}),
 			ERR_HTTP_REQUEST_TIMEOUT: createFailure('request-timeout', {limit: requestMilliseconds}),
 		};
-		const details = buildProblemDetails(failures[code] ?? createFailure('request-malformed', {reason: 'it is not valid HTTP/1.1'}));
+		const failure = failures[code] ?? createFailure('request-malformed', {reason: 'it is not valid HTTP/1.1'});
+		this.#countMalformed(failure);
+		const details = buildProblemDetails(failure);
 		const body = JSON.stringify(details);
 		socket.end(`HTTP/1.1 ${details.status} Refused\r\ncontent-type: ${problemMediaType}\r\ncontent-length: ${Buffer.byteLength(body)}\r\n`
 			+ `tanagerrail-outcome: ${details.outcome}\r\nconnection: close\r\n\r\n${body}`, () => {
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -1,14 +1,15 @@
 import {StatsD} from 'hot-shots';
+import type {MetricName} from './metric-table.js';
 
 /** Tags of a metric, for example service and work class. */
 export type MetricTags = Readonly<Record<string, string>>;
 
 /** Counts, gauges and timings of one process; docs/metrics.md lists the names. */
 export type Metrics = {
-	count(name: string, value: number, tags?: MetricTags): void;
-	setGauge(name: string, value: number, tags?: MetricTags): void;
+	count(name: MetricName, value: number, tags?: MetricTags): void;
+	setGauge(name: MetricName, value: number, tags?: MetricTags): void;
 	/** Records a duration in milliseconds. */
-	recordTiming(name: string, milliseconds: number, tags?: MetricTags): void;
+	recordTiming(name: MetricName, milliseconds: number, tags?: MetricTags): void;
 	close(): void;
 };
 
--- a/tools/write-pages.mjs
+++ b/tools/write-pages.mjs
@@ -1,6 +1,7 @@
 import fs from 'node:fs';
 import {formatFieldRow, listSettingsFields} from '../packages/cli/dist/src/settings-fields.js';
 import {resultCodes} from '../packages/results/dist/src/index.js';
+import {formatMetricRow, metricTable} from '../packages/telemetry/dist/src/index.js';
 import {verbs} from './lint/verbs.js';
 
 /** Writes the parts of docs/ that repeat tables of the code. Run after `npm run build`. */
@@ -34,3 +35,13 @@
 |---|---|---|---|---|
 ${listSettingsFields().map(field => formatFieldRow(field)).join('\n')}
 `);
+
+fs.writeFileSync('docs/metrics.md', `# Metrics
+
+Written by \`node tools/write-pages.mjs\` from \`packages/telemetry/src/metric-table.ts\`. Metrics are sent over UDP in the StatsD format with DogStatsD tags
+to the address in \`metrics.address\` of the settings, in packets of at most 1,400 bytes every 250 ms. Gauges are sent every 10 s.
+
+| name | kind | unit | tags | meaning |
+|---|---|---|---|---|
+${Object.keys(metricTable).map(name => formatMetricRow(name)).join('\n')}
+`);
