--- a/packages/cli/src/entry-host.ts
+++ b/packages/cli/src/entry-host.ts
@@ -5,7 +5,7 @@
 import process from 'node:process';
 import type {Configuration} from '@tanagerrail/configuration';
 import {
-	AttemptPolicies, CallerListener, EndpointConnections, type RequestContext,
+	AttemptPolicies, CallerListener, createListenerServer, EndpointConnections, TlsFiles, type RequestContext,
 } from '@tanagerrail/http';
 import {HostDirectory, PauseDetector} from '@tanagerrail/membership';
 import {AllocatorRegistry, SlotRouter, SlotServer} from '@tanagerrail/peers';
@@ -14,7 +14,9 @@
 	createLogger, createMetrics, LogLevel, readMonotonicClock, setCommonLogFields, setLogFilter,
 } from '@tanagerrail/telemetry';
 import {createHostClaims, type HostClaims} from './host-claims.js';
+import {logFilterPath, serveLogFilter} from './host-controls.js';
 import {HostLevels, levelsPath} from './host-levels.js';
+import {HostMetrics} from './host-metrics.js';
 import type {Settings} from './settings.js';
 
 const logger = createLogger('host');
@@ -39,6 +41,7 @@
 
 	readonly #objects: ObjectStore | undefined;
 	readonly #levels: HostLevels;
+	readonly #metrics: HostMetrics;
 	readonly #peerServer: Server;
 	readonly #adminServer: Server;
 	readonly #pauseDetector: PauseDetector;
@@ -49,10 +52,12 @@
 	constructor(settings: Settings, configuration?: Configuration) {
 		this.#settings = settings;
 		this.#configuration = configuration;
-		const {host, keys, platform, metrics} = settings;
+		const {host, keys, platform, metrics, listen, limits} = settings;
+		const callerTls = listen.callers.tls && new TlsFiles(listen.callers.tls);
+		const peerTls = listen.peers.tls && new TlsFiles(listen.peers.tls);
 		setCommonLogFields({host: host.id, failureDomain: host.failureDomain});
 		setLogFilter(settings.log.filter);
-		this.#objects = platform.objects && createS3Objects(platform.objects);
+		this.#objects = platform.objects && createS3Objects({...platform.objects, ...(platform.credentials && {credentials: platform.credentials})});
 		this.#levels = new HostLevels({
 			hostId: host.id, incarnation: this.#incarnation, getConfiguration: () => this.#configuration, objects: this.#objects, getAdminKeys: () => keys.admin,
 		});
@@ -85,13 +90,14 @@
 			registry: this.#registry,
 			clock,
 			key: keys.peers[0]!,
+			getAuthority: peerTls && (() => peerTls.contents?.authority),
 			getRevision,
 			onRevision,
 			checkPause: () => {
 				this.#pauseDetector.check();
 			},
 		});
-		this.#peerServer = createServer((_req, res) => {
+		this.#peerServer = createListenerServer({}, peerTls).on('request', (_req, res) => {
 			res.writeHead(404).end();
 		});
 		this.#slotServer = new SlotServer({
@@ -100,7 +106,9 @@
 		this.#adminServer = createServer((req, res) => {
 			this.#handleAdmin(req, res);
 		});
-		this.#listener = new CallerListener({context: this.#createContext(createMetrics({host: metrics.address, port: metrics.port, tags: {host: host.id}}))});
+		const client = createMetrics({host: metrics.address, port: metrics.port, tags: {host: host.id}});
+		this.#listener = new CallerListener({limits, tls: callerTls, context: this.#createContext(client)});
+		this.#metrics = new HostMetrics({metrics: client, clock, getInProgress: () => this.#listener.inProgress});
 	}
 
 	/** Whether the host takes new work. */
@@ -117,6 +125,7 @@
 		const {listen} = this.#settings;
 		this.#pauseDetector.start();
 		this.#levels.start();
+		this.#metrics.start();
 		await this.#directory.start();
 		const peers = await openListener(this.#peerServer, listen.peers);
 		const admin = await openListener(this.#adminServer, listen.admin);
@@ -163,6 +172,7 @@
 		this.#pauseDetector.stop();
 		this.#connections.close();
 		this.#objects?.close();
+		this.#metrics.stop();
 		this.#peerServer.close();
 		this.#adminServer.close();
 		this.#adminServer.closeAllConnections();
@@ -208,6 +218,11 @@
 			return;
 		}
 
+		if (req.url === logFilterPath) {
+			void serveLogFilter(req, res, this.#settings.keys.admin);
+			return;
+		}
+
 		res.writeHead(404).end();
 	}
 }
