feat(routing): change a service's configuration while requests wait

Cause: a new revision has to reach allocators that hold slots and queues.

Ruled out: new allocators for each revision, because slots in use would be counted twice or not at all until all hosts say hello again.

Change: Allocator.updateService and AllocatorRegistry.updateConfiguration change slots and limits in place; waiting requests keep the class with which they came, and an endpoint above its new slots gets no further work.

--- a/packages/peers/src/allocator-registry.ts
+++ b/packages/peers/src/allocator-registry.ts
@@ -107,7 +107,24 @@
 		}
 	}
 
-	/** Discards all allocators, after a pause or because the configuration changed. */
+	/**
+	 * Takes over a new configuration. Waiting requests and slots in use stay; the allocator of a removed service stays until
+	 * it is idle.
+	 *
+	 * @param configuration - The configuration in force.
+	 */
+	updateConfiguration(configuration: Configuration): void {
+		for (const [name, {allocator}] of this.#entries) {
+			const service = configuration.services.find(candidate => candidate.name === name);
+			if (service) {
+				allocator.updateService(service);
+			} else if (allocator.waiting === 0 && allocator.inUse === 0) {
+				this.#entries.delete(name);
+			}
+		}
+	}
+
+	/** Discards all allocators after a pause. */
 	reset(): void {
 		this.#entries.clear();
 	}
--- a/packages/routing/src/allocator.ts
+++ b/packages/routing/src/allocator.ts
@@ -59,7 +59,7 @@
 
 /** Hands out the slots of one service from one late-binding queue. */
 export class Allocator {
-	readonly #options: AllocatorOptions;
+	#options: AllocatorOptions;
 	readonly #endpoints: EndpointPool;
 	readonly #short = new WorkQueue<AllocationTicket>();
 	readonly #long = new WorkQueue<AllocationTicket>();
@@ -119,6 +119,18 @@
 		this.#grantWaiting();
 	}
 
+	/**
+	 * Takes over a new configuration of the service. Requests that wait or hold a slot keep the work class with which they
+	 * came; an endpoint with more requests than new slots gets no further work until it has a free one.
+	 *
+	 * @param service - The service's new configuration.
+	 */
+	updateService(service: ServiceConfiguration): void {
+		this.#options = {...this.#options, service};
+		this.#endpoints.setSlots(service.slotsPerEndpoint);
+		this.#grantWaiting();
+	}
+
 	/**
 	 * Sets which hosts share the service.
 	 *
--- a/packages/routing/src/endpoint-pool.ts
+++ b/packages/routing/src/endpoint-pool.ts
@@ -38,7 +38,7 @@
 
 /** The endpoints of one service. */
 export class EndpointPool {
-	readonly #options: EndpointPoolOptions;
+	#options: EndpointPoolOptions;
 	readonly #endpoints = new Map<string, Endpoint>();
 	#isFirstList = true;
 	#slowCheckedAt = -Infinity;
@@ -108,6 +108,18 @@
 		this.#isFirstList &&= listed.length === 0;
 	}
 
+	/**
+	 * Changes the number of slots of each endpoint.
+	 *
+	 * @param slotsPerEndpoint - The new number.
+	 */
+	setSlots(slotsPerEndpoint: number): void {
+		this.#options = {...this.#options, slotsPerEndpoint};
+		for (const endpoint of this.list()) {
+			endpoint.setSlots(slotsPerEndpoint);
+		}
+	}
+
 	/**
 	 * Chooses the endpoint for a request.
 	 *
--- a/packages/routing/src/endpoint.ts
+++ b/packages/routing/src/endpoint.ts
@@ -46,7 +46,7 @@
 
 /** One server of a service: its slots in use and what its latest attempts say about it. */
 export class Endpoint {
-	readonly #options: EndpointOptions;
+	#options: EndpointOptions;
 	readonly #attempts = new Map<string, Attempt>();
 	#outcomes: boolean[] = [];
 	#durations: number[] = [];
@@ -109,6 +109,17 @@
 		return this.#openSlots < this.#options.slots ? EndpointState.cold : EndpointState.healthy;
 	}
 
+	/**
+	 * Changes the number of slots; a cold endpoint stays cold.
+	 *
+	 * @param slots - The new number.
+	 */
+	setSlots(slots: number): void {
+		const isWarm = this.#openSlots >= this.#options.slots;
+		this.#options = {...this.#options, slots};
+		this.#openSlots = isWarm ? slots : Math.min(this.#openSlots, slots);
+	}
+
 	/**
 	 * Tells whether the endpoint is due for a single attempt although it is failing or slow.
 	 *
--- a/packages/routing/src/retry-budget.ts
+++ b/packages/routing/src/retry-budget.ts
@@ -19,6 +19,11 @@
 		this.#tokens = this.#options.capacity;
 	}
 
+	/** Tokens earned by each request. */
+	get ratio(): number {
+		return this.#options.ratio;
+	}
+
 	/** Earns the tokens of one request. */
 	add(): void {
 		this.#tokens = Math.min(this.#options.capacity, this.#tokens + this.#options.ratio);
