feat(cli): apply answers to running hosts

Cause: operators had no way to plan or apply a change, and hosts read their configuration from a file only.

Ruled out: announcing only the number of a revision, which costs each host a second call before the change is in force; asking the operator's own process to contact every host, which would need routes to all of them.

Change: control calls by tRPC between hosts and for operators, the keeper in the entry host, and the commands answers init, check, plan, apply, history, revert, approvals and status with documented exit codes.

--- /dev/null
+++ b/packages/cli/src/commands/answers-init.ts
@@ -0,0 +1,73 @@
+import fs from 'node:fs';
+import process from 'node:process';
+import {createInterface} from 'node:readline/promises';
+import type {CAC} from 'cac';
+import {
+	Document, isScalar, visit, type Scalar,
+} from 'yaml';
+import {createFailure} from '@tanagerrail/results';
+import {answersComments} from './answers-comments.js';
+import {checkAnswers} from './answers-check.js';
+import {askAnswers, defaultAnswers, type DraftAnswers} from './ask-answers.js';
+import {printOutcome, type CommandOutcome} from './command-outcome.js';
+
+type InitOptions = {readonly json?: boolean; readonly force?: boolean};
+
+/**
+ * Renders answers as a commented YAML file.
+ *
+ * @param answers - The answers.
+ * @returns The text of the file.
+ */
+export function renderAnswers(answers: DraftAnswers): string {
+	const document = new Document(answers);
+	const commented = new Set<string>();
+	visit(document, {
+		Pair(_key, {key}) {
+			if (!isScalar(key) || typeof key.value !== 'string' || commented.has(key.value)) {
+				return;
+			}
+
+			commented.add(key.value);
+			const comment = answersComments[key.value];
+			if (comment !== undefined) {
+				(key).commentBefore = comment;
+			}
+		},
+	});
+	return document.toString({lineWidth: 0});
+}
+
+async function initAnswers(file: string, {force = false}: InitOptions): Promise<CommandOutcome> {
+	if (fs.existsSync(file) && !force) {
+		return {lines: [], data: {file}, failure: createFailure('usage-invalid', {reason: `${file} exists already; --force replaces it`})};
+	}
+
+	fs.writeFileSync(file, renderAnswers(process.stdin.isTTY ? await askInTerminal() : defaultAnswers));
+	const checked = checkAnswers(file);
+	return {...checked, lines: [`${file} is written.`, ...checked.lines]};
+}
+
+async function askInTerminal(): Promise<DraftAnswers> {
+	const terminal = createInterface({input: process.stdin, output: process.stderr});
+	try {
+		return await askAnswers(async question => terminal.question(question));
+	} finally {
+		terminal.close();
+	}
+}
+
+/**
+ * Registers `answers init`.
+ *
+ * @param program - The command line.
+ */
+export function addInitCommand(program: CAC): void {
+	program.command('answers init [file]', 'Ask the questions and write an answers file; without a terminal write one to fill in')
+		.option('--force', 'Replace an existing file')
+		.option('--json', 'Print one JSON object')
+		.example('  tanagerrail answers init answers.yaml')
+		.action(async (file: string | undefined, options: InitOptions) => {
+			printOutcome(await initAnswers(file ?? 'answers.yaml', options), options.json ?? false);
+		});
+}
--- /dev/null
+++ b/packages/cli/src/commands/send-operator-call.ts
@@ -0,0 +1,31 @@
+import {err, ok, type Result} from 'neverthrow';
+import {createOperatorClient, describeControlError, type OperatorClient} from '@tanagerrail/peers';
+import {createFailure, type Failure} from '@tanagerrail/results';
+import type {OperatorTarget} from './operator-options.js';
+
+/** Time allowed for one call, in milliseconds; an apply waits up to 3 s for the hosts. */
+const callMilliseconds = 10_000;
+
+/**
+ * Sends an operator call to the first admin address that responds. A change that is sent again carries its token, so
+ * that it is accepted once.
+ *
+ * @param target - Addresses and key.
+ * @param call - The call.
+ * @returns Its response; failures `peer-unreachable` and `peer-unauthorized`.
+ */
+export async function sendOperatorCall<T>({addresses, key}: OperatorTarget, call: (client: OperatorClient, signal: AbortSignal) => Promise<T>): Promise<Result<T, Failure>> {
+	let failure = createFailure('peer-unreachable', {host: 'none', reason: 'no address is given'});
+	for (const address of addresses) {
+		try {
+			return ok(await call(createOperatorClient({address, key}), AbortSignal.timeout(callMilliseconds)));
+		} catch (error) {
+			failure = describeControlError(error, address);
+			if (failure.id === 'peer-unauthorized') {
+				break;
+			}
+		}
+	}
+
+	return err(failure);
+}
--- /dev/null
+++ b/packages/cli/src/control-plane.ts
@@ -0,0 +1,106 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {
+	AnswersManager, ConfigurationKeeper, RevisionStore, type Configuration,
+} from '@tanagerrail/configuration';
+import type {HostDirectory} from '@tanagerrail/membership';
+import {
+	createControlHandler, createOperatorRouter, createPeerControlRouter, operatorControlPath, PeerControlClients, peerControlPath, RevisionAnnouncer,
+	type ControlHandler, type HostStatus, type ReportedStatus,
+} from '@tanagerrail/peers';
+import type {TableService} from '@tanagerrail/platform';
+import type {Clock} from '@tanagerrail/telemetry';
+import type {Settings} from './settings.js';
+
+/** Options of {@link ControlPlane}. */
+export type ControlPlaneOptions = {
+	readonly settings: Settings;
+	readonly directory: HostDirectory;
+	readonly clock: Clock;
+	readonly random: () => number;
+	/** The table service; nothing when the settings name none. */
+	readonly table: TableService | undefined;
+	/** Configuration that is used until a revision is known. */
+	readonly initial: Configuration | undefined;
+	/** Called after each change of the configuration in force. */
+	readonly onApplied: (configuration: Configuration) => void;
+	readonly describeHost: () => HostStatus;
+};
+
+/** The configuration of one host and the control calls of its peers and operators. */
+export class ControlPlane {
+	readonly keeper: ConfigurationKeeper;
+	readonly #options: ControlPlaneOptions;
+	readonly #clients: PeerControlClients;
+	readonly #handlePeer: ControlHandler;
+	readonly #handleOperator: ControlHandler;
+
+	constructor(options: Omit<ControlPlaneOptions, 'random'> & Partial<ControlPlaneOptions>) {
+		this.#options = {random: Math.random, ...options};
+		const {settings: {host, keys}, directory, clock, table, initial, onApplied, describeHost} = options;
+		const store = table && new RevisionStore({table});
+		this.#clients = new PeerControlClients({directory, key: keys.peers[0]!});
+		this.keeper = new ConfigurationKeeper({
+			clock,
+			readCurrent: store && (() => store.readCurrent()),
+			fetchFromPeer: hostId => this.#clients.fetchRevision(hostId),
+			listPeers: () => this.#listPeers(),
+			initial,
+			onApplied,
+		});
+		const announcer = new RevisionAnnouncer({
+			hostId: host.id, directory, clients: this.#clients, clock,
+		});
+		this.#handlePeer = createControlHandler({
+			router: createPeerControlRouter({keeper: this.keeper, describeHost}), path: peerControlPath, keys: keys.peers,
+		});
+		this.#handleOperator = createControlHandler({
+			router: createOperatorRouter({
+				answers: store && {manager: new AnswersManager({store}), store}, keeper: this.keeper, announcer, collectStatus: async () => this.#collectStatus(),
+			}),
+			path: operatorControlPath,
+			keys: keys.admin,
+		});
+	}
+
+	/**
+	 * Serves a request on the peer address.
+	 *
+	 * @param req - The request.
+	 * @param res - Its response.
+	 * @returns Whether the request was a control call.
+	 */
+	handlePeer(req: IncomingMessage, res: ServerResponse): boolean {
+		return this.#handlePeer(req, res);
+	}
+
+	/**
+	 * Serves a request on the admin address.
+	 *
+	 * @param req - The request.
+	 * @param res - Its response.
+	 * @returns Whether the request was a control call.
+	 */
+	handleOperator(req: IncomingMessage, res: ServerResponse): boolean {
+		return this.#handleOperator(req, res);
+	}
+
+	/** Lists the other live hosts in random order, so that restarts do not all ask the same ones. */
+	#listPeers(): string[] {
+		const {directory, settings, random} = this.#options;
+		return directory.listEntries()
+			.filter(({id}) => id !== settings.host.id)
+			.map(({id}) => ({id, rank: random()}))
+			.sort((left, right) => left.rank - right.rank)
+			.map(({id}) => id);
+	}
+
+	async #collectStatus(): Promise<ReportedStatus[]> {
+		const {describeHost, settings} = this.#options;
+		const own: ReportedStatus = {hostId: settings.host.id, status: describeHost()};
+		const others = await Promise.all(this.#listPeers().map(async (hostId): Promise<ReportedStatus> => {
+			const fetched = await this.#clients.fetchStatus(hostId);
+			return fetched.isOk() ? {hostId, status: fetched.value} : {hostId, failure: fetched.error};
+		}));
+		return [own, ...others].sort((left, right) => left.hostId < right.hostId ? -1 : 1);
+	}
+}
--- a/packages/cli/src/entry-host.ts
+++ b/packages/cli/src/entry-host.ts
@@ -8,13 +8,16 @@
 import type {Configuration} from '@tanagerrail/configuration';
 import {CallerListener, EndpointConnections, type RequestContext} from '@tanagerrail/http';
 import {HostDirectory, PauseDetector} from '@tanagerrail/membership';
-import {AllocatorRegistry, SlotRouter, SlotServer} from '@tanagerrail/peers';
-import {createHttpHostList} from '@tanagerrail/platform';
+import {
+	AllocatorRegistry, SlotRouter, SlotServer, type HostStatus,
+} from '@tanagerrail/peers';
+import {createDynamoTable, createHttpHostList, type TableService} from '@tanagerrail/platform';
 import {createFailure} from '@tanagerrail/results';
 import {RetryBudget} from '@tanagerrail/routing';
 import {
-	createLogger, createMetrics, LogLevel, readMonotonicClock, setCommonLogFields, setLogFilter,
+	createLogger, createMetrics, listViolations, LogLevel, readMonotonicClock, setCommonLogFields, setLogFilter,
 } from '@tanagerrail/telemetry';
+import {ControlPlane} from './control-plane.js';
 import type {Settings} from './settings.js';
 
 const logger = createLogger('host');
@@ -40,20 +43,31 @@
 	readonly #adminServer: Server;
 	readonly #pauseDetector: PauseDetector;
 	readonly #retryBudgets = new Map<string, RetryBudget>();
-	readonly #configuration: Configuration | undefined;
+	readonly #table: TableService | undefined;
+	readonly #control: ControlPlane;
 	#isStopping = false;
 
 	constructor(settings: Settings, configuration?: Configuration) {
 		this.#settings = settings;
-		this.#configuration = configuration;
 		const {host, keys, platform, metrics} = settings;
 		setCommonLogFields({host: host.id, failureDomain: host.failureDomain});
 		setLogFilter(settings.log.filter);
-		const getRevision = () => this.#configuration?.revision ?? 0;
-		const onRevision = () => undefined;
+		const getRevision = () => this.#control.keeper.revision;
+		const onRevision = (revision: number, hostId: string) => {
+			this.#control.keeper.handleNamed(revision, hostId);
+		};
+
 		this.#directory = new HostDirectory({hostList: createHttpHostList({url: platform.hostList.url}), clock});
 		this.#registry = new AllocatorRegistry({
-			hostId: host.id, directory: this.#directory, clock, getConfiguration: () => this.#configuration,
+			hostId: host.id, directory: this.#directory, clock, getConfiguration: () => this.#control.keeper.latest,
+		});
+		this.#table = platform.table && createDynamoTable({url: platform.table.url, table: platform.table.name});
+		this.#control = new ControlPlane({
+			settings, directory: this.#directory, clock, table: this.#table, initial: configuration,
+			onApplied: applied => {
+				this.#handleApplied(applied);
+			},
+			describeHost: () => this.#describe(),
 		});
 		this.#pauseDetector = new PauseDetector({
 			clock,
@@ -75,8 +89,10 @@
 				this.#pauseDetector.check();
 			},
 		});
-		this.#peerServer = createServer((_req, res) => {
-			res.writeHead(404).end();
+		this.#peerServer = createServer((req, res) => {
+			if (!this.#control.handlePeer(req, res)) {
+				res.writeHead(404).end();
+			}
 		});
 		this.#slotServer = new SlotServer({
 			server: this.#peerServer, registry: this.#registry, directory: this.#directory, keys: keys.peers, getRevision, onRevision,
@@ -89,7 +105,7 @@
 
 	/** Whether the host takes new work. */
 	get isReady(): boolean {
-		return !this.#isStopping && this.#configuration !== undefined;
+		return !this.#isStopping && this.#control.keeper.isReady;
 	}
 
 	/**
@@ -101,6 +117,8 @@
 		const {listen} = this.#settings;
 		this.#pauseDetector.start();
 		await this.#directory.start();
+		// Before peers can connect, because an allocator without a configuration would refuse their requests.
+		await this.#control.keeper.start();
 		const peers = await openListener(this.#peerServer, listen.peers);
 		const admin = await openListener(this.#adminServer, listen.admin);
 		const callers = await this.#listener.start({host: listen.callers.address, port: listen.callers.port});
@@ -135,6 +153,8 @@
 
 	#close(): void {
 		this.#listener.abort();
+		this.#control.keeper.stop();
+		this.#table?.close();
 		this.#router.close();
 		this.#slotServer.close();
 		this.#registry.stop();
@@ -154,7 +174,7 @@
 			connections: this.#connections,
 			claims: createUnavailableClaims(),
 			metrics,
-			getConfiguration: () => this.#configuration,
+			getConfiguration: () => this.#control.keeper.configuration,
 			getRetryBudget: service => this.#getRetryBudget(service),
 			record: () => undefined,
 		};
@@ -166,7 +186,7 @@
 			return known;
 		}
 
-		const ratio = this.#configuration?.services.find(({name}) => name === service)?.retryBudget;
+		const ratio = this.#control.keeper.latest?.services.find(({name}) => name === service)?.retryBudget;
 		const budget = new RetryBudget(ratio === undefined ? {} : {ratio});
 		this.#retryBudgets.set(service, budget);
 		return budget;
@@ -177,6 +197,32 @@
 		this.#router.reset();
 		this.#slotServer.close();
 		this.#registry.reset();
+		void this.#control.keeper.refresh();
+	}
+
+	#handleApplied(configuration: Configuration): void {
+		this.#registry.updateConfiguration(configuration);
+		for (const [service, budget] of this.#retryBudgets) {
+			const ratio = configuration.services.find(({name}) => name === service)?.retryBudget;
+			// A budget whose ratio stays keeps its tokens, so that a change of other fields does not allow more retries.
+			if (ratio !== budget.ratio) {
+				this.#retryBudgets.delete(service);
+			}
+		}
+	}
+
+	#describe(): HostStatus {
+		const {id, failureDomain} = this.#settings.host;
+		return {
+			hostId: id,
+			failureDomain,
+			incarnation: this.#incarnation,
+			revision: this.#control.keeper.revision,
+			isReady: this.isReady,
+			peers: this.#router.links.map(({peerId, state}) => ({hostId: peerId, state})),
+			services: this.#registry.describe(),
+			violations: listViolations(),
+		};
 	}
 
 	#handleAdmin(req: IncomingMessage, res: ServerResponse): void {
@@ -190,7 +236,9 @@
 			return;
 		}
 
-		res.writeHead(404).end();
+		if (!this.#control.handleOperator(req, res)) {
+			res.writeHead(404).end();
+		}
 	}
 }
 
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -4,6 +4,9 @@
 import {cac} from 'cac';
 import {parse} from 'yaml';
 import type {Configuration} from '@tanagerrail/configuration';
+import {createFailure} from '@tanagerrail/results';
+import {printOutcome} from './commands/command-outcome.js';
+import {addOperatorCommands, mergeCommandWords} from './commands/operator-commands.js';
 import {EntryHost, stopOnSignal} from './entry-host.js';
 import {settingsSchema} from './settings.js';
 
@@ -22,11 +25,26 @@
 		stopOnSignal(host);
 		await host.start();
 	});
+addOperatorCommands(program);
 program.help();
 
 async function runMain(): Promise<void> {
-	program.parse(process.argv, {run: false});
-	await program.runMatchedCommand();
+	const argv = mergeCommandWords(process.argv);
+	try {
+		program.parse(argv, {run: false});
+		if (!program.matchedCommand && !program.options.help) {
+			printOutcome({lines: [], data: {}, failure: createFailure('usage-invalid', {reason: argv[2] === undefined ? 'no command is given' : `${argv[2]} is not a command`})}, false);
+			return;
+		}
+
+		await program.runMatchedCommand();
+	} catch (error) {
+		if (!(error instanceof Error) || error.name !== 'CACError') {
+			throw error;
+		}
+
+		printOutcome({lines: [], data: {}, failure: createFailure('usage-invalid', {reason: error.message})}, argv.includes('--json'));
+	}
 }
 
 void runMain();
--- /dev/null
+++ b/packages/cli/tests/host-fixture.ts
@@ -0,0 +1,27 @@
+import {EntryHost} from '../src/entry-host.js';
+import {settingsSchema} from '../src/settings.js';
+
+/** Key of peers and operators in these tests. */
+export const testKey = 'test-key-0123456789';
+
+/** Starts a host on free ports with the given host list and table. */
+export async function startHost(id: string, platform: {hostList: string; table?: string}) {
+	const host = new EntryHost(settingsSchema.parse({
+		host: {id, failureDomain: 'fd-0'},
+		listen: {callers: {port: 0}, peers: {port: 0}, admin: {port: 0}},
+		keys: {peers: [testKey], admin: [testKey]},
+		platform: {hostList: {url: platform.hostList}, ...(platform.table && {table: {url: platform.table}})},
+		log: {filter: ''},
+		shutdown: {lameDuckMilliseconds: 0, shutdownMilliseconds: 100},
+	}));
+	const ports = await host.start();
+	const row = {
+		targets: [`127.0.0.1:${ports.callers}`],
+		labels: {
+			role: 'entry', id, state: 'live', failure_domain: 'fd-0', peer: `127.0.0.1:${ports.peers}`, admin: `127.0.0.1:${ports.admin}`,
+		},
+	};
+	return {
+		host, row, admin: `127.0.0.1:${ports.admin}`, peers: `127.0.0.1:${ports.peers}`,
+	};
+}
--- a/packages/configuration/src/change.ts
+++ b/packages/configuration/src/change.ts
@@ -10,8 +10,8 @@
 	readonly subject: string;
 	/** Name of the field, for example `deadlineMilliseconds`. */
 	readonly field: string;
-	readonly before: ChangeValue;
-	readonly after: ChangeValue;
+	readonly before?: ChangeValue;
+	readonly after?: ChangeValue;
 	/** Whose requests it concerns. */
 	readonly affects: string;
 	/** Whether it touches work that must not repeat. */
--- a/packages/configuration/src/compute-effects.ts
+++ b/packages/configuration/src/compute-effects.ts
@@ -6,8 +6,8 @@
 	/** Service, or service and class. */
 	readonly subject: string;
 	readonly measure: EffectMeasure;
-	readonly before: number | undefined;
-	readonly after: number | undefined;
+	readonly before?: number;
+	readonly after?: number;
 };
 
 /** Sentences about effects; `{name}` is replaced by the effect's member of that name. */
--- a/packages/configuration/src/configuration-keeper.ts
+++ b/packages/configuration/src/configuration-keeper.ts
@@ -59,6 +59,14 @@
 		return this.#isRefreshing ? undefined : this.#configuration;
 	}
 
+	/**
+	 * The configuration that was last in force, also while the host asks again. Slots in use are counted by it; new requests
+	 * use {@link configuration}.
+	 */
+	get latest(): Configuration | undefined {
+		return this.#configuration;
+	}
+
 	/** Number of the revision in force; 0 when none is. */
 	get revision(): number {
 		return this.#record?.revision ?? 0;
--- /dev/null
+++ b/packages/peers/src/control-trpc.ts
@@ -0,0 +1,4 @@
+import {initTRPC} from '@trpc/server';
+
+/** The tRPC instance of the control routers. */
+export const controlTrpc = initTRPC.create();
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -1,6 +1,15 @@
 export * from './allocator-registry.js';
+export * from './control-handler.js';
+export * from './control-link.js';
+export * from './create-operator-client.js';
+export type * from './host-status.js';
+export * from './operator-router.js';
+export * from './peer-control-clients.js';
+export * from './peer-control-router.js';
+export * from './revision-announcer.js';
 export * from './slot-link.js';
 export type * from './slot-messages.js';
 export * from './slot-router.js';
 export * from './slot-server.js';
 export * from './verify-key.js';
+export * from './wire-result.js';
--- /dev/null
+++ b/packages/peers/src/peer-control-clients.ts
@@ -0,0 +1,89 @@
+import {createTRPCClient, type TRPCClient} from '@trpc/client';
+import {errAsync, ResultAsync} from 'neverthrow';
+import type {RevisionRecord} from '@tanagerrail/configuration';
+import type {HostDirectory} from '@tanagerrail/membership';
+import {createFailure, type Failure} from '@tanagerrail/results';
+import {peerControlPath} from './control-handler.js';
+import {createControlLink, describeControlError} from './control-link.js';
+import type {HostStatus} from './host-status.js';
+import type {PeerControlRouter} from './peer-control-router.js';
+
+/** Options of {@link PeerControlClients}. */
+export type PeerControlClientsOptions = {
+	readonly directory: HostDirectory;
+	readonly key: string;
+	/** Time allowed for one call, in milliseconds. */
+	readonly timeoutMilliseconds: number;
+};
+
+/** Defaults of {@link PeerControlClientsOptions}; an accepted change has to be in force within 3 s. */
+export const defaultPeerControlClientsOptions = {timeoutMilliseconds: 500};
+
+type PeerClient = {readonly address: string; readonly client: TRPCClient<PeerControlRouter>};
+
+/** Control calls to peers. Failures: `peer-unreachable` and `peer-unauthorized`. */
+export class PeerControlClients {
+	readonly #options: PeerControlClientsOptions;
+	readonly #clients = new Map<string, PeerClient>();
+
+	constructor(options: Partial<PeerControlClientsOptions> & Pick<PeerControlClientsOptions, 'directory' | 'key'>) {
+		this.#options = {...defaultPeerControlClientsOptions, ...options};
+	}
+
+	/**
+	 * Asks a peer for the change that is in force there.
+	 *
+	 * @param hostId - Id of the peer.
+	 * @returns The change, or nothing when the peer knows none.
+	 */
+	fetchRevision(hostId: string): ResultAsync<RevisionRecord | undefined, Failure> {
+		return this.#send(hostId, async (client, signal) => client.getConfiguration.query(undefined, {signal})).map(record => record ?? undefined);
+	}
+
+	/**
+	 * Announces an accepted change to a peer.
+	 *
+	 * @param hostId - Id of the peer.
+	 * @param record - The change.
+	 * @returns The revision in force there afterwards.
+	 */
+	announce(hostId: string, record: RevisionRecord): ResultAsync<number, Failure> {
+		return this.#send(hostId, async (client, signal) => client.announce.mutate(record, {signal})).map(({revision}) => revision);
+	}
+
+	/**
+	 * Asks a peer for its status.
+	 *
+	 * @param hostId - Id of the peer.
+	 * @returns Its own report.
+	 */
+	fetchStatus(hostId: string): ResultAsync<HostStatus, Failure> {
+		return this.#send(hostId, async (client, signal) => client.getStatus.query(undefined, {signal}));
+	}
+
+	#send<T>(hostId: string, call: (client: PeerClient['client'], signal: AbortSignal) => Promise<T>): ResultAsync<T, Failure> {
+		const client = this.#getClient(hostId);
+		if (!client) {
+			return errAsync(createFailure('peer-unreachable', {host: hostId, reason: 'not listed'}));
+		}
+
+		return ResultAsync.fromPromise(call(client, AbortSignal.timeout(this.#options.timeoutMilliseconds)), error => describeControlError(error, hostId));
+	}
+
+	#getClient(hostId: string): PeerClient['client'] | undefined {
+		const {directory, key} = this.#options;
+		const address = directory.find(hostId)?.peerAddress;
+		if (address === undefined) {
+			return undefined;
+		}
+
+		const known = this.#clients.get(hostId);
+		if (known?.address === address) {
+			return known.client;
+		}
+
+		const client = createTRPCClient<PeerControlRouter>({links: [createControlLink({address, path: peerControlPath, key})]});
+		this.#clients.set(hostId, {address, client});
+		return client;
+	}
+}
--- a/tools/lint/verbs.js
+++ b/tools/lint/verbs.js
@@ -1,9 +1,9 @@
 /** Verbs a function or method name may begin with; docs/glossary.md lists the same words. */
 export const verbs = `
-	abort accept acquire add adopt announce append apply assert build cancel check choose close collect
+	abort accept acquire add adopt announce append apply ask assert build cancel check choose close collect
 	compare compute connect convert count create decide decode delete describe detect disconnect drain
 	draw drop encode end enqueue escape expect expire extend fetch find finish fold format freeze generate
-	get grant handle has hash init is kill list load lock log make mark match measure merge normalize
+	get grant handle has hash init is kill list load lock log make manage mark match measure merge normalize
 	notify observe open parse pause pick plan print probe publish push put query rank read recall receive
 	record refresh refuse register release remove render repeat replay report request reset resolve respond
 	restart restore resume retry revert revoke run save scan schedule select send serve set settle shift
