--- a/packages/cli/src/entry-host.ts
+++ b/packages/cli/src/entry-host.ts
@@ -3,21 +3,22 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import process from 'node:process';
-import {errAsync} from 'neverthrow';
-import type {ClaimService} from '@tanagerrail/claims';
 import type {Configuration} from '@tanagerrail/configuration';
 import {CallerListener, EndpointConnections, type RequestContext} from '@tanagerrail/http';
 import {HostDirectory, PauseDetector} from '@tanagerrail/membership';
 import {
 	AllocatorRegistry, SlotRouter, SlotServer, type HostStatus,
 } from '@tanagerrail/peers';
-import {createDynamoTable, createHttpHostList, type TableService} from '@tanagerrail/platform';
-import {createFailure} from '@tanagerrail/results';
+import {
+	createDynamoTable, createHttpHostList, createS3Objects, type ObjectStore, type TableService,
+} from '@tanagerrail/platform';
 import {RetryBudget} from '@tanagerrail/routing';
 import {
 	createLogger, createMetrics, listViolations, LogLevel, readMonotonicClock, setCommonLogFields, setLogFilter,
 } from '@tanagerrail/telemetry';
 import {ControlPlane} from './control-plane.js';
+import {createHostClaims, type HostClaims} from './host-claims.js';
+import {HostLevels, levelsPath} from './host-levels.js';
 import type {Settings} from './settings.js';
 
 const logger = createLogger('host');
@@ -35,10 +36,13 @@
 	readonly #router: SlotRouter;
 	readonly #slotServer: SlotServer;
 	readonly #listener: CallerListener;
+	readonly #claims: HostClaims;
 	readonly #connections = new EndpointConnections({
 		clock, connections: 200, connectTimeout: 250, idleTimeout: 30_000,
 	});
 
+	readonly #objects: ObjectStore | undefined;
+	readonly #levels: HostLevels;
 	readonly #peerServer: Server;
 	readonly #adminServer: Server;
 	readonly #pauseDetector: PauseDetector;
@@ -57,11 +61,18 @@
 			this.#control.keeper.handleNamed(revision, hostId);
 		};
 
+		this.#objects = platform.objects && createS3Objects(platform.objects);
+		this.#levels = new HostLevels({
+			hostId: host.id, incarnation: this.#incarnation, getConfiguration: () => this.#control.keeper.latest, objects: this.#objects, getAdminKeys: () => keys.admin,
+		});
 		this.#directory = new HostDirectory({hostList: createHttpHostList({url: platform.hostList.url}), clock});
+		this.#claims = createHostClaims({
+			settings, incarnation: this.#incarnation, directory: this.#directory, getConfiguration: () => this.#control.keeper.latest,
+		});
 		this.#registry = new AllocatorRegistry({
 			hostId: host.id, directory: this.#directory, clock, getConfiguration: () => this.#control.keeper.latest,
 		});
-		this.#table = platform.table && createDynamoTable({url: platform.table.url, table: platform.table.name});
+		this.#table = platform.table && createDynamoTable({url: platform.table.url, table: platform.table.name, ...(platform.credentials && {credentials: platform.credentials})});
 		this.#control = new ControlPlane({
 			settings, directory: this.#directory, clock, table: this.#table, initial: configuration,
 			onApplied: applied => {
@@ -116,6 +127,7 @@
 	async start(): Promise<EntryHostPorts> {
 		const {listen} = this.#settings;
 		this.#pauseDetector.start();
+		this.#levels.start();
 		await this.#directory.start();
 		// Before peers can connect, because an allocator without a configuration would refuse their requests.
 		await this.#control.keeper.start();
@@ -147,6 +159,8 @@
 			}
 		}
 
+		await this.#claims.close(shutdownMilliseconds - (clock() - startedAt));
+		await this.#levels.stop();
 		logger.log(LogLevel.info, 'host-stopped', {cutOff: this.#listener.inProgress});
 		this.#close();
 	}
@@ -161,6 +175,7 @@
 		this.#directory.stop();
 		this.#pauseDetector.stop();
 		this.#connections.close();
+		this.#objects?.close();
 		this.#peerServer.close();
 		this.#adminServer.close();
 		this.#adminServer.closeAllConnections();
@@ -172,11 +187,13 @@
 			clock,
 			slots: this.#router,
 			connections: this.#connections,
-			claims: createUnavailableClaims(),
+			claims: this.#claims.service,
 			metrics,
 			getConfiguration: () => this.#control.keeper.configuration,
 			getRetryBudget: service => this.#getRetryBudget(service),
-			record: () => undefined,
+			record: record => {
+				this.#levels.record(record);
+			},
 		};
 	}
 
@@ -236,6 +253,11 @@
 			return;
 		}
 
+		if (req.url === levelsPath) {
+			void this.#levels.serve(req, res);
+			return;
+		}
+
 		if (!this.#control.handleOperator(req, res)) {
 			res.writeHead(404).end();
 		}
@@ -257,15 +279,6 @@
 	});
 }
 
-function createUnavailableClaims(): ClaimService {
-	return {
-		claim: () => errAsync(createFailure('store-unavailable')),
-		finish: async () => undefined,
-		remove: async () => undefined,
-		drain: async () => undefined,
-	};
-}
-
 /**
  * Stops a host when the process is told to end.
  *
--- a/packages/http/src/stream-response.ts
+++ b/packages/http/src/stream-response.ts
@@ -7,6 +7,17 @@
 
 const statusesWithoutBody = new Set([204, 304]);
 
+/**
+ * Tells whether a response has no body, whatever length it declares (RFC 9110, section 6.4.1).
+ *
+ * @param status - Status of the response.
+ * @param method - Method of the request.
+ * @returns Whether no body follows the headers.
+ */
+export function hasNoBody(status: number, method: string): boolean {
+	return method === 'HEAD' || statusesWithoutBody.has(status);
+}
+
 /**
  * Tells whether the end of a response can be recognised; without a length or chunks a cut response looks complete.
  *
@@ -15,7 +26,7 @@
  * @returns Whether a complete body can be told from a cut one.
  */
 export function hasRecognisableEnd(response: EndpointResponse, method: string): boolean {
-	return method === 'HEAD' || statusesWithoutBody.has(response.status)
+	return hasNoBody(response.status, method)
 		|| response.contentLength !== undefined || response.headers['transfer-encoding'] !== undefined;
 }
 
@@ -40,7 +51,7 @@
 			}
 
 			if (!res.write(chunk)) {
-				await Promise.race([once(res, 'drain'), once(res, 'close')]);
+				await waitDrain(res);
 			}
 		}
 	} catch {
@@ -56,3 +67,14 @@
 	res.end();
 	return ok(undefined);
 }
+
+/** Waits until more can be written or the caller is gone; leaves no listener behind, because a long body waits often. */
+async function waitDrain(res: ServerResponse): Promise<void> {
+	const controller = new AbortController();
+	const {signal} = controller;
+	try {
+		await Promise.race([once(res, 'drain', {signal}), once(res, 'close', {signal})]);
+	} finally {
+		controller.abort();
+	}
+}
--- a/packages/results/src/result-codes.ts
+++ b/packages/results/src/result-codes.ts
@@ -140,6 +140,9 @@
 	'host-list-unavailable': {
 		number: 6007, status: 503, outcome: Outcome.notRun, message: 'The host list cannot be read: {reason}.',
 	},
+	'snapshot-malformed': {
+		number: 6008, status: 500, outcome: Outcome.unknown, message: 'Snapshot {key} of service-level counts cannot be decoded: {reason}.',
+	},
 	'settings-invalid': {
 		number: 7001, status: 400, outcome: Outcome.notRun, message: '{file}:{line}: {field}: found {found}, expected {expected}.',
 	},
@@ -152,6 +155,12 @@
 	'usage-invalid': {
 		number: 7004, status: 400, outcome: Outcome.notRun, message: 'The command line is invalid: {reason}.',
 	},
+	'scenario-invalid': {
+		number: 7050, status: 400, outcome: Outcome.notRun, message: '{file}:{line}: {reason}.',
+	},
+	'scenario-failed': {
+		number: 7051, status: 500, outcome: Outcome.unknown, message: '{file}:{line}: {reason}.',
+	},
 	'peer-unreachable': {
 		number: 8001, status: 503, outcome: Outcome.notRun, message: 'Peer {host} cannot be reached: {reason}.',
 	},
--- a/packages/routing/tests/allocator-update.test.ts
+++ b/packages/routing/tests/allocator-update.test.ts
@@ -1,6 +1,7 @@
 import {test} from 'tap';
 import {defaultServiceConfiguration, type ServiceConfiguration, type WorkClass} from '@tanagerrail/configuration';
-import {Allocator, type AllocatedSlot} from '../src/allocator.js';
+import type {AllocatedSlot} from '../src/allocation.js';
+import {Allocator} from '../src/allocator.js';
 import {AttemptOutcome} from '../src/attempt-outcome.js';
 
 const workClass: WorkClass = {
@@ -19,7 +20,7 @@
 	const acquire = () => {
 		allocator.acquire({
 			hostId: 'h', failureDomain: 'fd-0', request: {
-				service: 'files', workClass: 'read', fingerprint: 'f', excluded: [], remainingMilliseconds: 1000, isImmediate: false,
+				service: 'files', workClass: 'read', kind: 'short', fingerprint: 'f', excluded: [], remainingMilliseconds: 1000, isImmediate: false,
 			}, onSettled(result) {
 				granted.push(result._unsafeUnwrap());
 			},
--- a/packages/stand-ins/src/endpoint-run-log.ts
+++ b/packages/stand-ins/src/endpoint-run-log.ts
@@ -1,6 +1,6 @@
-/** How a request ended at a stand-in endpoint. */
+/** How a request ended at a stand-in endpoint; `unheard` came on a connection that had gone silent. */
 export const RunEnd = {
-	answered: 'answered', refused: 'refused', failed: 'failed', cancelled: 'cancelled', expired: 'expired', crashed: 'crashed',
+	answered: 'answered', refused: 'refused', failed: 'failed', cancelled: 'cancelled', expired: 'expired', crashed: 'crashed', unheard: 'unheard',
 } as const;
 
 /** One of the ends of a request. */
@@ -12,6 +12,8 @@
 	readonly target: string;
 	/** Value of `Idempotency-Key`. */
 	readonly key: string | undefined;
+	/** Value of `Stand-In-Request`, by which a caller tells its resends apart. */
+	readonly requestId: string | undefined;
 	/** SHA-256 of the body in hexadecimal. */
 	readonly bodyHash: string;
 	/** Value of `Request-Timeout` in milliseconds. */
