--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -4,6 +4,8 @@
 import {
 	createFailure, formatFailure, resultCodes, type Failure,
 } from '@tanagerrail/results';
+import {printOutcome} from './commands/command-outcome.js';
+import {addOperatorCommands, mergeCommandWords} from './commands/operator-commands.js';
 import {runReportCommand, type ReportCommandOptions} from './commands/report-command.js';
 import {EntryHost, stopOnSignal} from './entry-host.js';
 import {watchLogFilter} from './host-controls.js';
@@ -25,6 +27,7 @@
 		watchLogFilter(file!);
 		await host.start();
 	});
+addOperatorCommands(program);
 program
 	.command('report', 'Show service levels: burn, budget left, quality measures, refusals')
 	.option('--settings <file>', 'Settings file (YAML)')
@@ -60,8 +63,22 @@
 }
 
 async function runMain(): Promise<void> {
-	program.parse(process.argv, {run: false});
-	await program.runMatchedCommand();
+	const argv = mergeCommandWords(process.argv);
+	try {
+		program.parse(argv, {run: false});
+		if (!program.matchedCommand && !program.options.help) {
+			printOutcome({lines: [], data: {}, failure: createFailure('usage-invalid', {reason: argv[2] === undefined ? 'no command is given' : `${argv[2]} is not a command`})}, false);
+			return;
+		}
+
+		await program.runMatchedCommand();
+	} catch (error) {
+		if (!(error instanceof Error) || error.name !== 'CACError') {
+			throw error;
+		}
+
+		printOutcome({lines: [], data: {}, failure: createFailure('usage-invalid', {reason: error.message})}, argv.includes('--json'));
+	}
 }
 
 void runMain();
