fix(cli): create the control plane before the claims that ask it for the write rate

Cause: the merge of claims and control plane created the claims first, and their write budget reads the configuration in its constructor; every entry host with a table ended at its start.

Ruled out: reading the rate later, because the budget's first second would have no bound.

Change: the control plane is created first.

--- a/packages/cli/src/entry-host.ts
+++ b/packages/cli/src/entry-host.ts
@@ -72,6 +72,14 @@
 			hostId: host.id, incarnation: this.#incarnation, getConfiguration: () => this.#control.keeper.latest, objects: this.#objects, getAdminKeys: () => keys.admin,
 		});
 		this.#directory = new HostDirectory({hostList: createHttpHostList({url: platform.hostList.url}), clock});
+		this.#table = platform.table && createDynamoTable({url: platform.table.url, table: platform.table.name, ...(platform.credentials && {credentials: platform.credentials})});
+		this.#control = new ControlPlane({
+			settings, directory: this.#directory, clock, table: this.#table, initial: configuration,
+			onApplied: () => {
+				this.#registry.updateConfiguration();
+			},
+			describeHost: () => this.#describe(),
+		});
 		this.#claims = createHostClaims({
 			settings, incarnation: this.#incarnation, directory: this.#directory, getConfiguration: () => this.#control.keeper.latest,
 		});
@@ -84,14 +92,6 @@
 				this.#levels.recorder.recordCost(service, cost);
 			},
 		});
-		this.#table = platform.table && createDynamoTable({url: platform.table.url, table: platform.table.name, ...(platform.credentials && {credentials: platform.credentials})});
-		this.#control = new ControlPlane({
-			settings, directory: this.#directory, clock, table: this.#table, initial: configuration,
-			onApplied: () => {
-				this.#registry.updateConfiguration();
-			},
-			describeHost: () => this.#describe(),
-		});
 		this.#pauseDetector = new PauseDetector({
 			clock,
 			onPause: milliseconds => {
