--- a/packages/http/src/serve-keyed.ts
+++ b/packages/http/src/serve-keyed.ts
@@ -134,7 +134,7 @@
 	}
 
 	return slots.acquire({
-		service: service.name, workClass: workClass.name, remainingMilliseconds, fingerprint: hashRequest(request), excluded, isImmediate: false,
+		service: service.name, workClass: workClass.name, kind: workClass.kind, remainingMilliseconds, fingerprint: hashRequest(request), excluded, isImmediate: false,
 	}, request.signal);
 }
 
--- a/packages/results/src/result-codes.ts
+++ b/packages/results/src/result-codes.ts
@@ -113,6 +113,12 @@
 	'not-in-force': {
 		number: 5005, status: 504, outcome: Outcome.unknown, message: 'Revision {revision} is accepted, but hosts {hosts} have not reported it in force.',
 	},
+	'approval-conflict': {
+		number: 5006, status: 409, outcome: Outcome.notRun, message: 'An approval rule for {kind} was changed meanwhile.',
+	},
+	'approval-unknown': {
+		number: 5007, status: 404, outcome: Outcome.notRun, message: 'No approval rule for {kind} exists.',
+	},
 	'table-condition-failed': {
 		number: 6001, status: 409, outcome: Outcome.notRun, message: 'The condition of the write on item {key} does not hold.',
 	},
@@ -134,6 +140,9 @@
 	'host-list-unavailable': {
 		number: 6007, status: 503, outcome: Outcome.notRun, message: 'The host list cannot be read: {reason}.',
 	},
+	'snapshot-malformed': {
+		number: 6008, status: 500, outcome: Outcome.unknown, message: 'Snapshot {key} of service-level counts cannot be decoded: {reason}.',
+	},
 	'settings-invalid': {
 		number: 7001, status: 400, outcome: Outcome.notRun, message: '{file}:{line}: {field}: found {found}, expected {expected}.',
 	},
@@ -146,6 +155,12 @@
 	'usage-invalid': {
 		number: 7004, status: 400, outcome: Outcome.notRun, message: 'The command line is invalid: {reason}.',
 	},
+	'scenario-invalid': {
+		number: 7050, status: 400, outcome: Outcome.notRun, message: '{file}:{line}: {reason}.',
+	},
+	'scenario-failed': {
+		number: 7051, status: 500, outcome: Outcome.unknown, message: '{file}:{line}: {reason}.',
+	},
 	'peer-unreachable': {
 		number: 8001, status: 503, outcome: Outcome.notRun, message: 'Peer {host} cannot be reached: {reason}.',
 	},
