--- a/packages/claims/tests/fake-table.ts
+++ b/packages/claims/tests/fake-table.ts
@@ -101,39 +101,12 @@
 	}
 }
 
-/** Objects in memory; not available while `isDown` is set. */
-export class FakeObjects implements ObjectStore {
-	isDown = false;
-	readonly #objects = new Map<string, Uint8Array>();
-
-	put(key: string, body: Uint8Array): ResultAsync<void, Failure> {
-		return this.#call(() => {
-			this.#objects.set(key, body);
-		});
-	}
-
-	get(key: string): ResultAsync<Uint8Array, Failure> {
-		return this.#call(() => this.#objects.get(key)!);
-	}
-
-	list(): ResultAsync<string[], Failure> {
-		return this.#call(() => [...this.#objects.keys()]);
-	}
-
-	delete(key: string): ResultAsync<void, Failure> {
-		return this.#call(() => {
-			this.#objects.delete(key);
-		});
-	}
-
-	close(): void {
-		this.#objects.clear();
-	}
+const refuseCall = () => errAsync(createFailure('object-unavailable', {reason: 'not used by small outcomes'}));
 
-	#call<T>(run: () => T): ResultAsync<T, Failure> {
-		return new ResultAsync((async () => this.isDown ? err(createFailure('object-unavailable', {reason: 'down'})) : ok(run()))());
-	}
-}
+/** An object store for tests whose outcomes fit into the table. */
+export const unusedObjects: ObjectStore = {
+	put: refuseCall, get: refuseCall, list: refuseCall, delete: refuseCall, close: () => undefined,
+};
 
 function checkCondition(condition: TableCondition, item: TableItem | undefined): boolean {
 	return condition.kind === 'none'
--- a/packages/claims/tests/table-claims.property.test.ts
+++ b/packages/claims/tests/table-claims.property.test.ts
@@ -2,7 +2,7 @@
 import {test} from 'tap';
 import {listViolations} from '@tanagerrail/telemetry';
 import {TableClaims} from '../src/table-claims.js';
-import {callFates, FakeObjects, FakeTable} from './fake-table.js';
+import {callFates, FakeTable, unusedObjects} from './fake-table.js';
 
 /** How an endpoint answers one dispatch; `killed` ends the host before it can store or remove anything. */
 const ends = ['answered', 'not-run', 'not-run', 'lost', 'killed', 'killed-before'] as const;
@@ -20,11 +20,10 @@
 	const answers: Array<{key: string; body: string}> = [];
 	const table = new FakeTable(async () => scheduler.schedule(Promise.resolve()));
 	table.fates.push(...fates);
-	const objects = new FakeObjects();
 	const serve = async ({key, end, remaining}: Request, index: number) => {
 		const claims = new TableClaims({
 			table,
-			objects,
+			objects: unusedObjects,
 			host: `host-${index}`,
 			incarnation: String(index),
 			getWriteRate: () => 1000,
--- a/packages/claims/tests/table-claims.test.ts
+++ b/packages/claims/tests/table-claims.test.ts
@@ -8,7 +8,7 @@
 import type {Claim, ClaimKey, StoredOutcome} from '../src/claim-service.js';
 import {TableClaims} from '../src/table-claims.js';
 import type {TableClaimsOptions} from '../src/table-claims-options.js';
-import {FakeObjects, FakeTable, type CallFate} from './fake-table.js';
+import {FakeTable, unusedObjects, type CallFate} from './fake-table.js';
 
 const key: ClaimKey = {
 	service: 'payments', key: 'k1', fingerprint: 'f', outcomeDays: 30,
@@ -16,6 +16,10 @@
 const outcome: StoredOutcome = {status: 201, headers: {location: '/grants/1', 'set-cookie': ['a', 'b']}, body: Buffer.from('paid')};
 const largeOutcome: StoredOutcome = {...outcome, body: Buffer.alloc(100_000, 'pdf')};
 
+const common = {
+	objects: unusedObjects, host: 'a', incarnation: 'a', getWriteRate: () => 100,
+};
+
 /** A platform with two entry hosts. */
 class Fixture {
 	readonly table = new StandInTable();
@@ -86,15 +90,15 @@
 const replayedLarge = `201 100000 ${JSON.stringify(outcome.headers)}`;
 
 test('a claim is made or refused as not run under each fault of its own write, and never blocks the key for good', async t => {
-	const cases: Array<{name: string; faults: Partial<PlatformFaults>; first: string}> = [
-		{name: 'no fault', faults: {}, first: 'claimed'},
-		{name: 'response lost after the effect', faults: {loseResponses: 1}, first: 'claimed'},
-		{name: 'failed before the effect', faults: {failWrites: 1}, first: 'claimed'},
-		{name: 'connection refused', faults: {down: 'refused'}, first: 'store-unavailable'},
-		{name: 'unavailable', faults: {down: 'unavailable'}, first: 'store-unavailable'},
-		{name: 'too slow', faults: {slowMilliseconds: 1600}, first: 'store-unavailable'},
+	const cases: Array<[name: string, faults: Partial<PlatformFaults>, first: string]> = [
+		['no fault', {}, 'claimed'],
+		['response lost after the effect', {loseResponses: 1}, 'claimed'],
+		['failed before the effect', {failWrites: 1}, 'claimed'],
+		['connection refused', {down: 'refused'}, 'store-unavailable'],
+		['unavailable', {down: 'unavailable'}, 'store-unavailable'],
+		['too slow', {slowMilliseconds: 1600}, 'store-unavailable'],
 	];
-	await Promise.all(cases.map(async ({name, faults, first}) => {
+	await Promise.all(cases.map(async ([name, faults, first]) => {
 		const fixture = await new Fixture().start();
 		await fixture.update(faults);
 		t.equal(await fixture.claim(0), first, name);
@@ -110,27 +114,15 @@
 });
 
 test('an outcome is replayed from any host although its write was lost, refused or delayed', async t => {
-	const cases: Array<{name: string; faults: Partial<PlatformFaults>; body: StoredOutcome; during: string; after: string}> = [
-		{
-			name: 'no fault', faults: {}, body: outcome, during: replayed, after: replayed,
-		},
-		{
-			name: 'response lost', faults: {loseResponses: 1}, body: outcome, during: replayed, after: replayed,
-		},
-		{
-			name: 'failed once', faults: {failWrites: 1}, body: outcome, during: replayed, after: replayed,
-		},
-		{
-			name: 'table down', faults: {down: 'refused'}, body: outcome, during: 'store-unavailable', after: replayed,
-		},
-		{
-			name: 'table slow', faults: {slowMilliseconds: 1600}, body: outcome, during: 'store-unavailable', after: replayed,
-		},
-		{
-			name: 'large body', faults: {}, body: largeOutcome, during: replayedLarge, after: replayedLarge,
-		},
+	const cases: Array<[name: string, faults: Partial<PlatformFaults>, body: StoredOutcome, during: string]> = [
+		['no fault', {}, outcome, replayed],
+		['response lost', {loseResponses: 1}, outcome, replayed],
+		['failed once', {failWrites: 1}, outcome, replayed],
+		['table down', {down: 'refused'}, outcome, 'store-unavailable'],
+		['table slow', {slowMilliseconds: 1600}, outcome, 'store-unavailable'],
+		['large body', {}, largeOutcome, replayedLarge],
 	];
-	await Promise.all(cases.map(async ({name, faults, body, during, after}) => {
+	await Promise.all(cases.map(async ([name, faults, body, during]) => {
 		const fixture = await new Fixture().start();
 		const claim = await fixture.take(0);
 		await fixture.update(faults);
@@ -138,7 +130,7 @@
 		t.equal(await fixture.claim(1), during, `${name}: a resend`);
 		await fixture.update(noPlatformFaults);
 		await fixture.drain();
-		t.equal(await fixture.claim(1), after, `${name}: a resend later`);
+		t.equal(await fixture.claim(1), body === outcome ? replayed : replayedLarge, `${name}: a resend later`);
 		t.equal(await fixture.claim(1, {fingerprint: 'other'}), 'key-reused', `${name}: another body`);
 		fixture.stop();
 	}));
@@ -196,9 +188,7 @@
 		// Nothing resolves it.
 	});
 	const table = new FakeTable(async () => isHanging ? never : undefined);
-	const claims = new TableClaims({
-		table, objects: new FakeObjects(), host: 'a', incarnation: 'a', getWriteRate: () => 100,
-	});
+	const claims = new TableClaims({table, ...common});
 	const claimed = await claims.claim(key, 1000);
 	const value = claimed._unsafeUnwrap();
 	isHanging = true;
@@ -212,9 +202,7 @@
 test('a refusal by the rate limit of the table is not run, and the claim is not left behind', async t => {
 	const table = new FakeTable(async () => undefined);
 	table.fates.push('throttled');
-	const claims = new TableClaims({
-		table, objects: new FakeObjects(), host: 'a', incarnation: 'a', getWriteRate: () => 100,
-	});
+	const claims = new TableClaims({table, ...common});
 	const claimed = await claims.claim(key, 100);
 	t.equal(claimed.isErr() && claimed.error.id, 'store-busy');
 	t.equal(table.items.size, 0);
@@ -223,7 +211,7 @@
 test('a removal that takes effect late does not remove the claim of another host', async t => {
 	const table = new FakeTable(async () => wait(1));
 	const [a, b] = ['a', 'b'].map(host => new TableClaims({
-		table, objects: new FakeObjects(), host, incarnation: host, getWriteRate: () => 100, firstRepeatMilliseconds: 0,
+		...common, table, host, firstRepeatMilliseconds: 0,
 	})) as [TableClaims, TableClaims];
 	const first = await a.claim(key, 1000);
 	table.fates.push('late');
@@ -240,9 +228,7 @@
 
 test('a claim that is made after its caller was refused is removed, for nobody would run it', async t => {
 	const table = new FakeTable(async () => wait(20));
-	const claims = new TableClaims({
-		table, objects: new FakeObjects(), host: 'a', incarnation: 'a', getWriteRate: () => 100,
-	});
+	const claims = new TableClaims({table, ...common});
 	const claimed = await claims.claim(key, 5);
 	t.equal(claimed.isErr() && claimed.error.id, 'store-unavailable');
 	while (table.items.size === 0) {
@@ -256,7 +242,7 @@
 test('unsettled writes do not pile up during an outage', async t => {
 	const table = new FakeTable(async () => undefined);
 	const claims = new TableClaims({
-		table, objects: new FakeObjects(), host: 'a', incarnation: 'a', getWriteRate: () => 100, settleMilliseconds: 0, maximumWaitingWrites: 1, firstRepeatMilliseconds: 10_000,
+		table, ...common, settleMilliseconds: 0, maximumWaitingWrites: 1, firstRepeatMilliseconds: 10_000,
 	});
 	const outage: CallFate[] = Array.from({length: 100}, () => 'dropped');
 	table.fates.push(...outage);
--- a/packages/http/tests/serve-keyed.test.ts
+++ b/packages/http/tests/serve-keyed.test.ts
@@ -8,7 +8,7 @@
 import {createFailure} from '@tanagerrail/results';
 import {RetryBudget, type SlotSource} from '@tanagerrail/routing';
 import {
-	durationHeader, lengthHeader, StandInEndpoint, StandInObjectStore, StandInTable,
+	durationHeader, lengthHeader, StandInEndpoint, StandInObjectStore, StandInTable, type EndpointFaults,
 } from '@tanagerrail/stand-ins';
 import {createMetrics, listViolations, readMonotonicClock as clock} from '@tanagerrail/telemetry';
 import {CallerListener} from '../src/caller-listener.js';
@@ -108,102 +108,35 @@
 	}
 }
 
-type Case = {
-	readonly name: string;
-	readonly prepare?: (fixture: Fixture) => unknown;
-	readonly headers?: Record<string, string>;
-	readonly first: string;
-	/** Before the request is sent again through the other host. */
-	readonly repair?: (fixture: Fixture) => unknown;
-	readonly resend: string;
-	readonly runs: number;
+type Prepare = (fixture: Fixture) => unknown;
+
+const updateFirst = (faults: EndpointFaults): Prepare => ({endpoints}) => {
+	endpoints[0]!.update(faults);
 };
 
-const cases: Case[] = [
-	{
-		name: 'answered', first: '200 2 bytes', resend: '200 2 bytes', runs: 1,
-	},
-	{
-		name: 'large response', headers: {[lengthHeader]: '100000'}, first: '200 100000 bytes', resend: '200 100000 bytes', runs: 1,
-	},
-	{
-		name: 'key malformed', headers: {'idempotency-key': 'a b'}, first: 'key-malformed not-run', resend: 'key-malformed not-run', runs: 0,
-	},
-	{
-		name: 'an endpoint that cannot be reached is passed over',
-		prepare({endpoints}) {
-			endpoints[0]!.stop();
-		},
-		first: '200 2 bytes',
-		resend: '200 2 bytes',
-		runs: 1,
-	},
-	{
-		name: 'a request that reached no endpoint may be sent again',
-		prepare(fixture) {
-			fixture.refusals = 1;
-		},
-		first: 'queue-full not-run',
-		resend: '200 2 bytes',
-		runs: 1,
-	},
-	{
-		name: 'an endpoint that crashes on the request is not replaced',
-		prepare({endpoints}) {
-			endpoints[0]!.update({crashTarget: '/grants'});
-		},
-		first: 'outcome-unknown unknown',
-		resend: 'outcome-unknown unknown',
-		runs: 1,
-	},
-	{
-		name: 'a cut response is not passed on',
-		prepare({endpoints}) {
-			endpoints[0]!.update({cutAfterBytes: 1000});
-		},
-		headers: {[lengthHeader]: '100000'},
-		first: 'outcome-unknown unknown',
-		resend: 'outcome-unknown unknown',
-		runs: 1,
-	},
-	{
-		name: 'an endpoint that is too slow is not replaced',
-		headers: {[durationHeader]: '5000'},
-		first: 'outcome-unknown unknown',
-		resend: 'outcome-unknown unknown',
-		runs: 1,
-	},
-	{
-		name: 'a failure of the endpoint is an outcome',
-		prepare({endpoints}) {
-			endpoints[0]!.update({isFailing: true});
-		},
-		first: '500 0 bytes',
-		repair({endpoints}) {
-			endpoints[0]!.update({isFailing: false});
-		},
-		resend: '500 0 bytes',
-		runs: 0,
-	},
-	{
-		name: 'the table is down',
-		prepare: async ({table}) => table.update({down: 'refused'}),
-		first: 'store-unavailable not-run',
-		repair: async ({table}) => table.update({down: 'none'}),
-		resend: '200 2 bytes',
-		runs: 1,
-	},
-	{
-		name: 'the response to the claim write is lost',
-		prepare: async ({table}) => table.update({loseResponses: 1}),
-		first: '200 2 bytes',
-		resend: '200 2 bytes',
-		runs: 1,
-	},
+const large = {[lengthHeader]: '100000'};
+
+/** The second preparation comes before the request is sent again through the other host. */
+const cases: Array<[name: string, headers: Record<string, string>, prepare: Prepare[], first: string, resend: string, runs: number]> = [
+	['answered', {}, [], '200 2 bytes', '200 2 bytes', 1],
+	['large response', large, [], '200 100000 bytes', '200 100000 bytes', 1],
+	['key malformed', {'idempotency-key': 'a b'}, [], 'key-malformed not-run', 'key-malformed not-run', 0],
+	['an endpoint that cannot be reached is passed over', {}, [({endpoints}) => {
+		endpoints[0]!.stop();
+	}], '200 2 bytes', '200 2 bytes', 1],
+	['a request that reached no endpoint may be sent again', {}, [fixture => {
+		fixture.refusals = 1;
+	}], 'queue-full not-run', '200 2 bytes', 1],
+	['an endpoint that crashes on the request is not replaced', {}, [updateFirst({crashTarget: '/grants'})], 'outcome-unknown unknown', 'outcome-unknown unknown', 1],
+	['a cut response is not passed on', large, [updateFirst({cutAfterBytes: 1000})], 'outcome-unknown unknown', 'outcome-unknown unknown', 1],
+	['an endpoint that is too slow is not replaced', {[durationHeader]: '5000'}, [], 'outcome-unknown unknown', 'outcome-unknown unknown', 1],
+	['a failure of the endpoint is an outcome', {}, [updateFirst({isFailing: true}), updateFirst({isFailing: false})], '500 0 bytes', '500 0 bytes', 0],
+	['the table is down', {}, [async ({table}) => table.update({down: 'refused'}), async ({table}) => table.update({down: 'none'})], 'store-unavailable not-run', '200 2 bytes', 1],
+	['the response to the claim write is lost', {}, [async ({table}) => table.update({loseResponses: 1})], '200 2 bytes', '200 2 bytes', 1],
 ];
 
 test('a keyed request runs at most once, and a refusal as not run leaves the key free', async t => {
-	await Promise.all(cases.map(async ({name, prepare, headers, first, repair, resend, runs}) => {
+	await Promise.all(cases.map(async ([name, headers, [prepare, repair], first, resend, runs]) => {
 		const fixture = await new Fixture().start();
 		await prepare?.(fixture);
 		t.equal(await fixture.send(0, headers), first, name);
--- a/packages/platform/tests/dynamo-table.test.ts
+++ b/packages/platform/tests/dynamo-table.test.ts
@@ -22,29 +22,19 @@
 }
 
 test('each fault of a write is named, and only a write that may have taken effect is ambiguous', async t => {
-	const cases: Array<{name: string; faults: Partial<PlatformFaults>; id: string; isWritten: boolean}> = [
-		{
-			name: 'response lost after the effect', faults: {loseResponses: 1}, id: 'table-ambiguous', isWritten: true,
-		},
-		{
-			name: 'status 500 before the effect', faults: {failWrites: 1}, id: 'table-ambiguous', isWritten: false,
-		},
-		{
-			name: 'timeout', faults: {slowMilliseconds: 300}, id: 'table-ambiguous', isWritten: true,
-		},
-		{
-			name: 'status 503', faults: {down: 'unavailable'}, id: 'table-ambiguous', isWritten: false,
-		},
-		{
-			name: 'connection refused', faults: {down: 'refused'}, id: 'table-unavailable', isWritten: false,
-		},
+	const cases: Array<[name: string, faults: Partial<PlatformFaults>, id: string, isWritten: boolean]> = [
+		['response lost after the effect', {loseResponses: 1}, 'table-ambiguous', true],
+		['status 500 before the effect', {failWrites: 1}, 'table-ambiguous', false],
+		['timeout', {slowMilliseconds: 300}, 'table-ambiguous', true],
+		['status 503', {down: 'unavailable'}, 'table-ambiguous', false],
+		['connection refused', {down: 'refused'}, 'table-unavailable', false],
 	];
 	const standIn = new StandInTable();
 	const {url} = await standIn.start();
 	t.teardown(() => {
 		standIn.stop();
 	});
-	for (const [index, {name, faults, id, isWritten}] of cases.entries()) {
+	for (const [index, [name, faults, id, isWritten]] of cases.entries()) {
 		// A new client has no idle connection, on which a refusal would look like a loss.
 		const table = createDynamoTable({url, timeoutMilliseconds: 200});
 		await standIn.update(faults);
