test(http): end background writes with their fixture

Cause: in a full run at a load average of 27 all cases passed, but the file was ended after 120 s: a call of the table had timed out, and the removal of its claim was repeated against the stopped table. Ruled out: a limit on repetitions in the product, where the removal has to outlast an outage. Change: the fixture ends its claims' background writes. Conclusion: the file ends with its last test.

--- a/packages/http/tests/serve-keyed.test.ts
+++ b/packages/http/tests/serve-keyed.test.ts
@@ -76,6 +76,7 @@
 			});
 			this.hosts.push(`http://127.0.0.1:${await listener.start({host: '127.0.0.1', port: 0})}/grants`);
 			this.#closers.push(() => {
+				void claims.drain(AbortSignal.abort());
 				listener.stop();
 				listener.abort();
 				connections.close();
