--- /dev/null
+++ b/packages/bench/src/experiments/analyse-runs.ts
@@ -0,0 +1,72 @@
+import {RunEnd, type EndpointRun} from '@tanagerrail/stand-ins';
+import type {EndpointHistory, VariantRun} from '../fleet/index.js';
+import type {Sample} from '../load/index.js';
+
+/** A time window in milliseconds since the start of a run. */
+export type TimeWindow = {readonly from: number; readonly to: number};
+
+/**
+ * Lists the requests of callers that endpoints received; probes of their load are left out.
+ *
+ * @param histories - Logs of the endpoints.
+ * @returns The requests.
+ */
+export function listRuns(histories: readonly EndpointHistory[]): EndpointRun[] {
+	return histories.flatMap(({runs}) => runs.filter(({target}) => !target.startsWith('/-/')));
+}
+
+/**
+ * Computes the highest number of requests that were in the endpoints at the same time.
+ *
+ * @param runs - Requests of the endpoints.
+ * @returns The number.
+ */
+export function computeMostInFlight(runs: readonly EndpointRun[]): number {
+	const changes = runs
+		.filter(({end}) => end !== RunEnd.unheard)
+		.flatMap(({receivedAt, endedAt = Infinity}) => [{at: receivedAt, change: 1}, {at: endedAt, change: -1}])
+		// An end at the same time as a start comes first.
+		.sort((a, b) => a.at - b.at || a.change - b.change);
+	let current = 0;
+	let most = 0;
+	for (const {change} of changes) {
+		current += change;
+		most = Math.max(most, current);
+	}
+
+	return most;
+}
+
+/**
+ * Computes the mean number of slots that were busy with some requests.
+ *
+ * @param run - The run.
+ * @param window - Time window.
+ * @param isCounted - Tells which requests count.
+ * @returns Slots.
+ */
+export function computeBusySlots({histories, startedAt}: VariantRun, {from, to}: TimeWindow, isCounted: (run: EndpointRun) => boolean): number {
+	let busy = 0;
+	for (const run of listRuns(histories)) {
+		if (run.startedAt !== undefined && isCounted(run)) {
+			const start = Math.max(run.startedAt - startedAt, from);
+			const end = Math.min((run.endedAt ?? Infinity) - startedAt, to);
+			busy += Math.max(0, end - start);
+		}
+	}
+
+	return busy / (to - from);
+}
+
+/**
+ * Collects the targets of the requests that were answered within a time.
+ *
+ * @param samples - The samples.
+ * @param deadline - Longest time from the actual start, in milliseconds.
+ * @returns The targets.
+ */
+export function collectInTime(samples: readonly Sample[], deadline: number): Set<string> {
+	return new Set(samples
+		.filter(({status, latency, lateness}) => status === 200 && latency - lateness <= deadline)
+		.map(({arrival}) => arrival.target));
+}
--- a/packages/stand-ins/src/endpoint-run-log.ts
+++ b/packages/stand-ins/src/endpoint-run-log.ts
@@ -23,6 +23,8 @@
 	startedAt?: number;
 	endedAt?: number;
 	end?: RunEnd;
+	/** Bytes received and sent on the connection, of a probe of the load only. */
+	bytes?: number;
 };
 
 /** Keeps the latest requests of an endpoint. */
--- a/packages/stand-ins/src/stand-in-endpoint.ts
+++ b/packages/stand-ins/src/stand-in-endpoint.ts
@@ -30,6 +30,8 @@
 	readonly #slots: EndpointSlots;
 	readonly #sockets = new Set<Socket>();
 	readonly #silent = new WeakSet<Socket>();
+	/** Bytes of each connection up to the end of its latest request. */
+	readonly #seenBytes = new WeakMap<Socket, number>();
 	readonly #adminHandlers: Readonly<Record<string, (request: EndpointRequest) => void>> = {
 		'GET /-/load': ({res, run}) => {
 			this.#log.add({
@@ -149,6 +151,7 @@
 
 			this.#log.add(request.run);
 			await this.#serve(request);
+			this.#countBytes(req.socket);
 		} catch (error) {
 			// A caller that is gone is part of the tests; anything else is a fault of the stand-in.
 			if (!res.destroyed) {
@@ -232,6 +235,14 @@
 		res.end(body.length === 0 ? undefined : body.subarray((Math.ceil(body.length / pieceLength) - 1) * pieceLength));
 	}
 
+	/** Counts the bytes of a connection since the last call for it. */
+	#countBytes(socket: Socket): number {
+		const total = socket.bytesRead + socket.bytesWritten;
+		const bytes = total - (this.#seenBytes.get(socket) ?? 0);
+		this.#seenBytes.set(socket, total);
+		return bytes;
+	}
+
 	#finish({req, res, run}: EndpointRequest, {status, end}: {status: number; end: RunEnd}): void {
 		run.end ??= end;
 		run.endedAt ??= readWallClock();
