--- a/packages/cli/src/entry-host.ts
+++ b/packages/cli/src/entry-host.ts
@@ -4,16 +4,19 @@
 } from 'node:http';
 import process from 'node:process';
 import type {Configuration} from '@tanagerrail/configuration';
-import {CallerListener, EndpointConnections, type RequestContext} from '@tanagerrail/http';
+import {
+	AttemptPolicies, CallerListener, createListenerServer, EndpointConnections, TlsFiles, type RequestContext,
+} from '@tanagerrail/http';
 import {HostDirectory, PauseDetector} from '@tanagerrail/membership';
 import {AllocatorRegistry, SlotRouter, SlotServer} from '@tanagerrail/peers';
 import {createHttpHostList, createS3Objects, type ObjectStore} from '@tanagerrail/platform';
-import {RetryBudget} from '@tanagerrail/routing';
 import {
 	createLogger, createMetrics, LogLevel, readMonotonicClock, setCommonLogFields, setLogFilter,
 } from '@tanagerrail/telemetry';
 import {createHostClaims, type HostClaims} from './host-claims.js';
+import {logFilterPath, serveLogFilter} from './host-controls.js';
 import {HostLevels, levelsPath} from './host-levels.js';
+import {HostMetrics} from './host-metrics.js';
 import type {Settings} from './settings.js';
 
 const logger = createLogger('host');
@@ -38,20 +41,23 @@
 
 	readonly #objects: ObjectStore | undefined;
 	readonly #levels: HostLevels;
+	readonly #metrics: HostMetrics;
 	readonly #peerServer: Server;
 	readonly #adminServer: Server;
 	readonly #pauseDetector: PauseDetector;
-	readonly #retryBudgets = new Map<string, RetryBudget>();
+	readonly #policies = new AttemptPolicies({getConfiguration: () => this.#configuration});
 	readonly #configuration: Configuration | undefined;
 	#isStopping = false;
 
 	constructor(settings: Settings, configuration?: Configuration) {
 		this.#settings = settings;
 		this.#configuration = configuration;
-		const {host, keys, platform, metrics} = settings;
+		const {host, keys, platform, metrics, listen, limits} = settings;
+		const callerTls = listen.callers.tls && new TlsFiles(listen.callers.tls);
+		const peerTls = listen.peers.tls && new TlsFiles(listen.peers.tls);
 		setCommonLogFields({host: host.id, failureDomain: host.failureDomain});
 		setLogFilter(settings.log.filter);
-		this.#objects = platform.objects && createS3Objects(platform.objects);
+		this.#objects = platform.objects && createS3Objects({...platform.objects, ...(platform.credentials && {credentials: platform.credentials})});
 		this.#levels = new HostLevels({
 			hostId: host.id, incarnation: this.#incarnation, getConfiguration: () => this.#configuration, objects: this.#objects, getAdminKeys: () => keys.admin,
 		});
@@ -62,7 +68,13 @@
 			settings, incarnation: this.#incarnation, directory: this.#directory, getConfiguration: () => this.#configuration,
 		});
 		this.#registry = new AllocatorRegistry({
-			hostId: host.id, directory: this.#directory, clock, getConfiguration: () => this.#configuration,
+			hostId: host.id,
+			directory: this.#directory,
+			clock,
+			getConfiguration: () => this.#configuration,
+			onCost: (service, cost) => {
+				this.#levels.recorder.recordCost(service, cost);
+			},
 		});
 		this.#pauseDetector = new PauseDetector({
 			clock,
@@ -78,13 +90,14 @@
 			registry: this.#registry,
 			clock,
 			key: keys.peers[0]!,
+			getAuthority: peerTls && (() => peerTls.contents?.authority),
 			getRevision,
 			onRevision,
 			checkPause: () => {
 				this.#pauseDetector.check();
 			},
 		});
-		this.#peerServer = createServer((_req, res) => {
+		this.#peerServer = createListenerServer({}, peerTls).on('request', (_req, res) => {
 			res.writeHead(404).end();
 		});
 		this.#slotServer = new SlotServer({
@@ -93,7 +106,9 @@
 		this.#adminServer = createServer((req, res) => {
 			this.#handleAdmin(req, res);
 		});
-		this.#listener = new CallerListener({context: this.#createContext(createMetrics({host: metrics.address, port: metrics.port, tags: {host: host.id}}))});
+		const client = createMetrics({host: metrics.address, port: metrics.port, tags: {host: host.id}});
+		this.#listener = new CallerListener({limits, tls: callerTls, context: this.#createContext(client)});
+		this.#metrics = new HostMetrics({metrics: client, clock, getInProgress: () => this.#listener.inProgress});
 	}
 
 	/** Whether the host takes new work. */
@@ -110,6 +125,7 @@
 		const {listen} = this.#settings;
 		this.#pauseDetector.start();
 		this.#levels.start();
+		this.#metrics.start();
 		await this.#directory.start();
 		const peers = await openListener(this.#peerServer, listen.peers);
 		const admin = await openListener(this.#adminServer, listen.admin);
@@ -127,6 +143,8 @@
 		this.#isStopping = true;
 		logger.log(LogLevel.info, 'host-stopping');
 		this.#slotServer.announceGoodbye();
+		// This host's own requests go to the next allocator as well, so that both do not hand out the same slots.
+		this.#directory.recordGoodbye(this.#settings.host.id);
 		this.#listener.drain();
 		await waitMilliseconds(lameDuckMilliseconds);
 		this.#listener.stop();
@@ -154,6 +172,7 @@
 		this.#pauseDetector.stop();
 		this.#connections.close();
 		this.#objects?.close();
+		this.#metrics.stop();
 		this.#peerServer.close();
 		this.#adminServer.close();
 		this.#adminServer.closeAllConnections();
@@ -168,25 +187,14 @@
 			claims: this.#claims.service,
 			metrics,
 			getConfiguration: () => this.#configuration,
-			getRetryBudget: service => this.#getRetryBudget(service),
+			getRetryBudget: service => this.#policies.getRetryBudget(service),
+			getHedgePolicy: match => this.#policies.getHedgePolicy(match),
 			record: record => {
 				this.#levels.record(record);
 			},
 		};
 	}
 
-	#getRetryBudget(service: string): RetryBudget {
-		const known = this.#retryBudgets.get(service);
-		if (known) {
-			return known;
-		}
-
-		const ratio = this.#configuration?.services.find(({name}) => name === service)?.retryBudget;
-		const budget = new RetryBudget(ratio === undefined ? {} : {ratio});
-		this.#retryBudgets.set(service, budget);
-		return budget;
-	}
-
 	#handlePause(milliseconds: number): void {
 		logger.log(LogLevel.warn, 'host-paused', {milliseconds: Math.round(milliseconds)});
 		this.#router.reset();
@@ -210,6 +218,11 @@
 			return;
 		}
 
+		if (req.url === logFilterPath) {
+			void serveLogFilter(req, res, this.#settings.keys.admin);
+			return;
+		}
+
 		res.writeHead(404).end();
 	}
 }
