--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,6 +1,7 @@
 import fs from 'node:fs';
 import process from 'node:process';
 import {cac} from 'cac';
+import {registerChaos} from './chaos/chaos-command.js';
 import {experiments, type ExperimentReport} from './experiments/index.js';
 import {renderPlot} from './report/render-plot.js';
 
@@ -20,6 +21,7 @@
 	.option('--plot <file>', 'Write a plot as SVG')
 	.option('--quick', 'Shorten the run; its figures mean little')
 	.action(runExperiment);
+registerChaos(program);
 program.help();
 
 async function runExperiment(name: string, {seed, json, plot, quick = false}: BenchOptions): Promise<void> {
