--- a/packages/http/tests/serve-idempotent.test.ts
+++ b/packages/http/tests/serve-idempotent.test.ts
@@ -22,8 +22,13 @@
 		name: 'claim-status',
 		workClasses: [{
 			name: 'status', kind: 'short', priority: 'interactive', usualMilliseconds: 10, longestMilliseconds: 1000, deadlineMilliseconds: 2000, hedge: true,
+		}, {
+			// A silence counts as suspicious after 5 s only, so that nothing but hedges starts second attempts.
+			name: 'hedged', kind: 'short', priority: 'interactive', usualMilliseconds: 1000, longestMilliseconds: 2000, deadlineMilliseconds: 4000, hedge: true,
 		}],
 		routes: [{
+			method: 'GET', path: '/hedged', workClass: 'hedged', idempotent: true,
+		}, {
 			method: 'GET', path: '/**', workClass: 'status', idempotent: true,
 		}],
 	}],
@@ -88,9 +93,9 @@
 		return this;
 	}
 
-	async send(headers: Record<string, string> = {}): Promise<{status: number; body: Buffer; milliseconds: number}> {
+	async send(headers: Record<string, string> = {}, path = '/status/1'): Promise<{status: number; body: Buffer; milliseconds: number}> {
 		const startedAt = clock();
-		const {statusCode, body} = await request(`${this.#origin}/status/1`, {headers});
+		const {statusCode, body} = await request(`${this.#origin}${path}`, {headers});
 		const bytes = Buffer.from(await body.arrayBuffer());
 		return {status: statusCode, body: bytes, milliseconds: clock() - startedAt};
 	}
@@ -163,14 +168,14 @@
 test('a stalled request is hedged, and hedges stay within their budget', async t => {
 	const fixture = await startFixture(t);
 	for (let index = 0; index < 100; index += 1) {
-		await fixture.send({[durationHeader]: '2'});
+		await fixture.send({[durationHeader]: '2'}, '/hedged');
 	}
 
 	fixture.endpoints[0]!.update({requestStallShare: 1, requestStallMilliseconds: 45});
 	const before = fixture.runs;
 	const durations: number[] = [];
 	for (let index = 0; index < 40; index += 1) {
-		const {milliseconds} = await fixture.send({[durationHeader]: '2'});
+		const {milliseconds} = await fixture.send({[durationHeader]: '2'}, '/hedged');
 		durations.push(milliseconds);
 	}
 
--- a/packages/peers/src/allocator-registry.ts
+++ b/packages/peers/src/allocator-registry.ts
@@ -157,7 +157,7 @@
 		}
 	}
 
-	/** Discards all allocators, after a pause or because the configuration changed. */
+	/** Discards all allocators after a pause. */
 	reset(): void {
 		for (const {prober} of this.#entries.values()) {
 			prober.stop();
@@ -166,7 +166,10 @@
 		this.#entries.clear();
 	}
 
-	/** Applies the configuration in force; waits and slots in use stay. */
+	/**
+	 * Applies the configuration in force. Waits and slots in use stay; the allocator of a removed service stays until it is
+	 * idle.
+	 */
 	updateConfiguration(): void {
 		const configuration = this.#options.getConfiguration();
 		for (const [name, {allocator, prober}] of this.#entries) {
@@ -174,6 +177,9 @@
 			if (configuration && service) {
 				allocator.updateService(service);
 				prober.update(configuration.measuring);
+			} else if (allocator.waiting === 0 && allocator.inUse === 0) {
+				prober.stop();
+				this.#entries.delete(name);
 			}
 		}
 	}
