--- a/packages/cli/src/entry-host.ts
+++ b/packages/cli/src/entry-host.ts
@@ -8,12 +8,17 @@
 	CallerListener, createListenerServer, EndpointConnections, TlsFiles, type RequestContext,
 } from '@tanagerrail/http';
 import {HostDirectory, PauseDetector} from '@tanagerrail/membership';
-import {AllocatorRegistry, SlotRouter, SlotServer} from '@tanagerrail/peers';
-import {createHttpHostList, createS3Objects, type ObjectStore} from '@tanagerrail/platform';
+import {
+	AllocatorRegistry, SlotRouter, SlotServer, type HostStatus,
+} from '@tanagerrail/peers';
+import {
+	createDynamoTable, createHttpHostList, createS3Objects, type ObjectStore, type TableService,
+} from '@tanagerrail/platform';
 import {RetryBudget} from '@tanagerrail/routing';
 import {
-	createLogger, createMetrics, LogLevel, readMonotonicClock, setCommonLogFields, setLogFilter,
+	createLogger, createMetrics, listViolations, LogLevel, readMonotonicClock, setCommonLogFields, setLogFilter,
 } from '@tanagerrail/telemetry';
+import {ControlPlane} from './control-plane.js';
 import {createHostClaims, type HostClaims} from './host-claims.js';
 import {logFilterPath, serveLogFilter} from './host-controls.js';
 import {HostLevels, levelsPath} from './host-levels.js';
@@ -47,29 +52,40 @@
 	readonly #adminServer: Server;
 	readonly #pauseDetector: PauseDetector;
 	readonly #retryBudgets = new Map<string, RetryBudget>();
-	readonly #configuration: Configuration | undefined;
+	readonly #table: TableService | undefined;
+	readonly #control: ControlPlane;
 	#isStopping = false;
 
 	constructor(settings: Settings, configuration?: Configuration) {
 		this.#settings = settings;
-		this.#configuration = configuration;
 		const {host, keys, platform, metrics, listen, limits} = settings;
 		const callerTls = listen.callers.tls && new TlsFiles(listen.callers.tls);
 		const peerTls = listen.peers.tls && new TlsFiles(listen.peers.tls);
 		setCommonLogFields({host: host.id, failureDomain: host.failureDomain});
 		setLogFilter(settings.log.filter);
 		this.#objects = platform.objects && createS3Objects({...platform.objects, ...(platform.credentials && {credentials: platform.credentials})});
+		const getRevision = () => this.#control.keeper.revision;
+		const onRevision = (revision: number, hostId: string) => {
+			this.#control.keeper.handleNamed(revision, hostId);
+		};
+
 		this.#levels = new HostLevels({
-			hostId: host.id, incarnation: this.#incarnation, getConfiguration: () => this.#configuration, objects: this.#objects, getAdminKeys: () => keys.admin,
+			hostId: host.id, incarnation: this.#incarnation, getConfiguration: () => this.#control.keeper.latest, objects: this.#objects, getAdminKeys: () => keys.admin,
 		});
-		const getRevision = () => this.#configuration?.revision ?? 0;
-		const onRevision = () => undefined;
 		this.#directory = new HostDirectory({hostList: createHttpHostList({url: platform.hostList.url}), clock});
 		this.#claims = createHostClaims({
-			settings, incarnation: this.#incarnation, directory: this.#directory, getConfiguration: () => this.#configuration,
+			settings, incarnation: this.#incarnation, directory: this.#directory, getConfiguration: () => this.#control.keeper.latest,
 		});
 		this.#registry = new AllocatorRegistry({
-			hostId: host.id, directory: this.#directory, clock, getConfiguration: () => this.#configuration,
+			hostId: host.id, directory: this.#directory, clock, getConfiguration: () => this.#control.keeper.latest,
+		});
+		this.#table = platform.table && createDynamoTable({url: platform.table.url, table: platform.table.name, ...(platform.credentials && {credentials: platform.credentials})});
+		this.#control = new ControlPlane({
+			settings, directory: this.#directory, clock, table: this.#table, initial: configuration,
+			onApplied: applied => {
+				this.#handleApplied(applied);
+			},
+			describeHost: () => this.#describe(),
 		});
 		this.#pauseDetector = new PauseDetector({
 			clock,
@@ -92,8 +108,10 @@
 				this.#pauseDetector.check();
 			},
 		});
-		this.#peerServer = createListenerServer({}, peerTls).on('request', (_req, res) => {
-			res.writeHead(404).end();
+		this.#peerServer = createListenerServer({}, peerTls).on('request', (req, res) => {
+			if (!this.#control.handlePeer(req, res)) {
+				res.writeHead(404).end();
+			}
 		});
 		this.#slotServer = new SlotServer({
 			server: this.#peerServer, registry: this.#registry, directory: this.#directory, keys: keys.peers, getRevision, onRevision,
@@ -108,7 +126,7 @@
 
 	/** Whether the host takes new work. */
 	get isReady(): boolean {
-		return !this.#isStopping && this.#configuration !== undefined;
+		return !this.#isStopping && this.#control.keeper.isReady;
 	}
 
 	/**
@@ -122,6 +140,8 @@
 		this.#levels.start();
 		this.#metrics.start();
 		await this.#directory.start();
+		// Before peers can connect, because an allocator without a configuration would refuse their requests.
+		await this.#control.keeper.start();
 		const peers = await openListener(this.#peerServer, listen.peers);
 		const admin = await openListener(this.#adminServer, listen.admin);
 		const callers = await this.#listener.start({host: listen.callers.address, port: listen.callers.port});
@@ -158,6 +178,8 @@
 
 	#close(): void {
 		this.#listener.abort();
+		this.#control.keeper.stop();
+		this.#table?.close();
 		this.#router.close();
 		this.#slotServer.close();
 		this.#registry.stop();
@@ -179,7 +201,7 @@
 			connections: this.#connections,
 			claims: this.#claims.service,
 			metrics,
-			getConfiguration: () => this.#configuration,
+			getConfiguration: () => this.#control.keeper.configuration,
 			getRetryBudget: service => this.#getRetryBudget(service),
 			record: record => {
 				this.#levels.record(record);
@@ -193,7 +215,7 @@
 			return known;
 		}
 
-		const ratio = this.#configuration?.services.find(({name}) => name === service)?.retryBudget;
+		const ratio = this.#control.keeper.latest?.services.find(({name}) => name === service)?.retryBudget;
 		const budget = new RetryBudget(ratio === undefined ? {} : {ratio});
 		this.#retryBudgets.set(service, budget);
 		return budget;
@@ -204,6 +226,32 @@
 		this.#router.reset();
 		this.#slotServer.close();
 		this.#registry.reset();
+		void this.#control.keeper.refresh();
+	}
+
+	#handleApplied(configuration: Configuration): void {
+		this.#registry.updateConfiguration(configuration);
+		for (const [service, budget] of this.#retryBudgets) {
+			const ratio = configuration.services.find(({name}) => name === service)?.retryBudget;
+			// A budget whose ratio stays keeps its tokens, so that a change of other fields does not allow more retries.
+			if (ratio !== budget.ratio) {
+				this.#retryBudgets.delete(service);
+			}
+		}
+	}
+
+	#describe(): HostStatus {
+		const {id, failureDomain} = this.#settings.host;
+		return {
+			hostId: id,
+			failureDomain,
+			incarnation: this.#incarnation,
+			revision: this.#control.keeper.revision,
+			isReady: this.isReady,
+			peers: this.#router.links.map(({peerId, state}) => ({hostId: peerId, state})),
+			services: this.#registry.describe(),
+			violations: listViolations(),
+		};
 	}
 
 	#handleAdmin(req: IncomingMessage, res: ServerResponse): void {
@@ -227,7 +275,9 @@
 			return;
 		}
 
-		res.writeHead(404).end();
+		if (!this.#control.handleOperator(req, res)) {
+			res.writeHead(404).end();
+		}
 	}
 }
 
