feat(report): collect counts by operator calls

Cause: the report used a plain GET of its own while operators' calls go through one tRPC router with one set of options.

Conclusion: an operator needs one admin address and the key, and no access to the object store.

--- a/packages/cli/src/commands/operator-commands.ts
+++ b/packages/cli/src/commands/operator-commands.ts
@@ -5,6 +5,7 @@
 import {addHistoryCommand} from './answers-history.js';
 import {addInitCommand} from './answers-init.js';
 import {addPlanCommand} from './answers-plan.js';
+import {addReportCommand} from './report-command.js';
 import {addRevertCommand} from './answers-revert.js';
 import {addStatusCommand} from './status.js';
 
@@ -14,7 +15,7 @@
  * @param program - The command line.
  */
 export function addOperatorCommands(program: CAC): void {
-	for (const add of [addInitCommand, addCheckCommand, addPlanCommand, addApplyCommand, addHistoryCommand, addRevertCommand, addApprovalsCommand, addStatusCommand]) {
+	for (const add of [addInitCommand, addCheckCommand, addPlanCommand, addApplyCommand, addHistoryCommand, addRevertCommand, addApprovalsCommand, addStatusCommand, addReportCommand]) {
 		add(program);
 	}
 }
--- a/packages/cli/src/commands/report-command.ts
+++ b/packages/cli/src/commands/report-command.ts
@@ -1,35 +1,68 @@
 import fs from 'node:fs';
-import process from 'node:process';
-import {ok, type Result} from 'neverthrow';
-import type {Failure} from '@tanagerrail/results';
-import {collectLevels} from '../report/collect-levels.js';
+import type {CAC} from 'cac';
+import {err, ok, type Result} from 'neverthrow';
+import {createFailure, formatFailure, type Failure} from '@tanagerrail/results';
+import {loadSettings} from '../load-settings.js';
+import {
+	collectLevels, createOperatorSources, createPlatformSources, type LevelSources,
+} from '../report/collect-levels.js';
 import {renderReportHtml} from '../report/render-report-html.js';
 import {renderReportText} from '../report/render-report-text.js';
-import type {Settings} from '../settings.js';
+import {printOutcome, type CommandOutcome} from './command-outcome.js';
+import {addOperatorOptions, readTarget, type OperatorOptions} from './operator-options.js';
 
 /** Options of `tanagerrail report`. */
-export type ReportCommandOptions = {
-	/** Print JSON in place of text. */
-	readonly json?: boolean;
+type ReportOptions = OperatorOptions & {
+	/** Settings file of a host, in place of an admin address. */
+	readonly settings?: string;
 	/** File for the HTML page. */
 	readonly html?: string;
 };
 
+async function runReport(options: ReportOptions): Promise<CommandOutcome> {
+	const collected = await readSources(options).match(async sources => collectLevels(sources), async failure => err(failure));
+	if (collected.isErr()) {
+		return {lines: [], data: {}, failure: collected.error};
+	}
+
+	const levels = collected.value;
+	return {
+		lines: renderReportText(levels).trimEnd().split('\n'),
+		data: {...levels.report, warnings: levels.warnings},
+		failure: options.html === undefined ? undefined : writePage(String(options.html), renderReportHtml(levels)),
+	};
+}
+
+function readSources(options: ReportOptions): Result<LevelSources, Failure> {
+	if (options.settings === undefined) {
+		return readTarget(options).map(target => createOperatorSources(target));
+	}
+
+	return loadSettings(String(options.settings))
+		.map(({settings}) => createPlatformSources(settings))
+		.mapErr(failures => failures.length === 1 ? failures[0]! : createFailure('usage-invalid', {reason: failures.map(failure => formatFailure(failure)).join(' ')}));
+}
+
+function writePage(file: string, page: string): Failure | undefined {
+	try {
+		fs.writeFileSync(file, page);
+		return undefined;
+	} catch (error) {
+		return createFailure('file-unwritable', {file, reason: (error as NodeJS.ErrnoException).code ?? 'unknown'});
+	}
+}
+
 /**
- * Runs `tanagerrail report`.
+ * Registers `report`.
  *
- * @param settings - Addresses and keys.
- * @param options - Form of the output.
- * @returns Nothing, or `host-list-unavailable`.
+ * @param program - The command line.
  */
-export async function runReportCommand(settings: Pick<Settings, 'platform' | 'keys'>, {json = false, html}: ReportCommandOptions): Promise<Result<void, Failure>> {
-	const collected = await collectLevels(settings);
-	return collected.andThen(levels => {
-		if (html !== undefined) {
-			fs.writeFileSync(html, renderReportHtml(levels));
-		}
-
-		process.stdout.write(json ? `${JSON.stringify({...levels.report, warnings: levels.warnings}, undefined, '\t')}\n` : renderReportText(levels));
-		return ok(undefined);
-	});
+export function addReportCommand(program: CAC): void {
+	addOperatorOptions(program.command('report', 'Show service levels: burn, budget left, quality measures, refusals'))
+		.option('--settings <file>', 'Settings file of a host, in place of --admin; also works when the platform is reached but no host')
+		.option('--html <file>', 'Write a self-contained HTML page with plots')
+		.example('  tanagerrail report --admin 10.0.0.1:7002 --key-file admin.key --html levels.html')
+		.action(async (options: ReportOptions) => {
+			printOutcome(await runReport(options), options.json ?? false);
+		});
 }
--- a/packages/cli/src/control-plane.ts
+++ b/packages/cli/src/control-plane.ts
@@ -5,7 +5,7 @@
 import type {HostDirectory} from '@tanagerrail/membership';
 import {
 	createControlHandler, createOperatorRouter, createPeerControlRouter, operatorControlPath, PeerControlClients, peerControlPath, RevisionAnnouncer,
-	type ControlHandler, type HostStatus, type ReportedStatus,
+	type ControlHandler, type HostStatus, type LevelCalls, type ReportedStatus,
 } from '@tanagerrail/peers';
 import type {TableService} from '@tanagerrail/platform';
 import type {Clock} from '@tanagerrail/telemetry';
@@ -24,6 +24,7 @@
 	/** Called after each change of the configuration in force. */
 	readonly onApplied: (configuration: Configuration) => void;
 	readonly describeHost: () => HostStatus;
+	readonly levels: LevelCalls;
 };
 
 /** The configuration of one host and the control calls of its peers and operators. */
@@ -36,7 +37,7 @@
 
 	constructor(options: Omit<ControlPlaneOptions, 'random'> & Partial<ControlPlaneOptions>) {
 		this.#options = {random: Math.random, ...options};
-		const {settings: {host, keys}, directory, clock, table, initial, onApplied, describeHost} = options;
+		const {settings: {host, keys}, directory, clock, table, initial, onApplied, describeHost, levels} = options;
 		const store = table && new RevisionStore({table});
 		this.#clients = new PeerControlClients({directory, key: keys.peers[0]!});
 		this.keeper = new ConfigurationKeeper({
@@ -55,7 +56,7 @@
 		});
 		this.#handleOperator = createControlHandler({
 			router: createOperatorRouter({
-				answers: store && {manager: new AnswersManager({store}), store}, keeper: this.keeper, announcer, collectStatus: async () => this.#collectStatus(),
+				answers: store && {manager: new AnswersManager({store}), store}, keeper: this.keeper, announcer, collectStatus: async () => this.#collectStatus(), levels,
 			}),
 			path: operatorControlPath,
 			keys: keys.admin,
--- a/packages/cli/src/entry-host.ts
+++ b/packages/cli/src/entry-host.ts
@@ -21,7 +21,7 @@
 import {ControlPlane} from './control-plane.js';
 import {createHostClaims, type HostClaims} from './host-claims.js';
 import {logFilterPath, serveLogFilter} from './host-controls.js';
-import {HostLevels, levelsPath} from './host-levels.js';
+import {HostLevels} from './host-levels.js';
 import {HostMetrics} from './host-metrics.js';
 import type {Settings} from './settings.js';
 
@@ -69,10 +69,10 @@
 			this.#control.keeper.handleNamed(revision, hostId);
 		};
 
+		this.#directory = new HostDirectory({hostList: createHttpHostList({url: platform.hostList.url}), clock});
 		this.#levels = new HostLevels({
-			hostId: host.id, incarnation: this.#incarnation, getConfiguration: () => this.#control.keeper.latest, objects: this.#objects, getAdminKeys: () => keys.admin,
+			hostId: host.id, incarnation: this.#incarnation, getConfiguration: () => this.#control.keeper.latest, directory: this.#directory, objects: this.#objects,
 		});
-		this.#directory = new HostDirectory({hostList: createHttpHostList({url: platform.hostList.url}), clock});
 		this.#claims = createHostClaims({
 			settings, incarnation: this.#incarnation, directory: this.#directory, getConfiguration: () => this.#control.keeper.latest,
 		});
@@ -86,6 +86,7 @@
 				this.#handleApplied(applied);
 			},
 			describeHost: () => this.#describe(),
+			levels: this.#levels,
 		});
 		this.#pauseDetector = new PauseDetector({
 			clock,
@@ -265,11 +266,6 @@
 			return;
 		}
 
-		if (req.url === levelsPath) {
-			void this.#levels.serve(req, res);
-			return;
-		}
-
 		if (req.url === logFilterPath) {
 			void serveLogFilter(req, res, this.#settings.keys.admin);
 			return;
--- a/packages/cli/src/host-levels.ts
+++ b/packages/cli/src/host-levels.ts
@@ -1,36 +1,35 @@
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import {errAsync, type Result} from 'neverthrow';
 import type {Configuration} from '@tanagerrail/configuration';
 import {
-	encodeSnapshot, LevelRecorder, SnapshotStore, SnapshotWriter, type LevelRecord,
+	encodeSnapshot, LevelRecorder, SnapshotStore, SnapshotWriter, type LevelRecord, type LevelSnapshot,
 } from '@tanagerrail/measuring';
-import {keyHeader, verifyKey} from '@tanagerrail/peers';
+import type {HostDirectory} from '@tanagerrail/membership';
+import type {LevelCalls, LevelHost, StoredLevels} from '@tanagerrail/peers';
 import type {ObjectStore} from '@tanagerrail/platform';
-import {createFailure, problemMediaType, buildProblemDetails} from '@tanagerrail/results';
-
-/** Path of a host's counts on its admin address. */
-export const levelsPath = '/-/levels';
+import {createFailure, type Failure} from '@tanagerrail/results';
 
 /** Options of {@link HostLevels}. */
 export type HostLevelsOptions = {
 	readonly hostId: string;
 	readonly incarnation: string;
 	readonly getConfiguration: () => Configuration | undefined;
+	readonly directory: HostDirectory;
 	/** Object store for snapshots; without it the counts end with the process. */
 	readonly objects: ObjectStore | undefined;
-	/** Valid admin keys; two during a rotation. */
-	readonly getAdminKeys: () => readonly string[];
 };
 
 /** Service-level counts of a host: recorded, served to operators and kept in the object store. */
-export class HostLevels {
+export class HostLevels implements LevelCalls {
 	readonly #options: HostLevelsOptions;
 	readonly #recorder: LevelRecorder;
+	readonly #store: SnapshotStore | undefined;
 	readonly #writer: SnapshotWriter | undefined;
 
 	constructor(options: HostLevelsOptions) {
 		this.#options = options;
 		this.#recorder = new LevelRecorder(options);
-		this.#writer = options.objects && new SnapshotWriter({recorder: this.#recorder, store: new SnapshotStore(options.objects)});
+		this.#store = options.objects && new SnapshotStore(options.objects);
+		this.#writer = this.#store && new SnapshotWriter({recorder: this.#recorder, store: this.#store});
 	}
 
 	get recorder(): LevelRecorder {
@@ -56,19 +55,20 @@
 		await this.#writer?.stop();
 	}
 
-	/**
-	 * Serves the counts to an operator with a valid key.
-	 *
-	 * @param req - Request on the admin address.
-	 * @param res - Response: the snapshot as gzip-compressed JSON.
-	 */
-	async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
-		if (!verifyKey(req.headers[keyHeader], this.#options.getAdminKeys())) {
-			res.writeHead(401, {'content-type': problemMediaType}).end(JSON.stringify(buildProblemDetails(createFailure('peer-unauthorized'))));
-			return;
+	readonly takeSnapshot = async (): Promise<string> => encodeBase64(this.#recorder.takeSnapshot());
+
+	readonly listHosts = (): LevelHost[] => this.#options.directory.listEntries().map(({id, adminAddress}) => ({id, adminAddress}));
+
+	readonly readStored = async (): Promise<Result<StoredLevels, Failure>> => {
+		if (!this.#store) {
+			return errAsync(createFailure('object-unavailable', {reason: 'the settings name no object store'}));
 		}
 
-		const body = await encodeSnapshot(this.#recorder.takeSnapshot());
-		res.writeHead(200, {'content-type': 'application/gzip', 'content-length': body.length}).end(body);
-	}
+		const stored = await this.#store.readAll();
+		return stored.asyncMap(async ({snapshots, unreadable}) => ({snapshots: await Promise.all(snapshots.map(async snapshot => encodeBase64(snapshot))), unreadable}));
+	};
+}
+
+async function encodeBase64(snapshot: LevelSnapshot): Promise<string> {
+	return Buffer.from(await encodeSnapshot(snapshot)).toString('base64');
 }
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -6,7 +6,6 @@
 } from '@tanagerrail/results';
 import {printOutcome} from './commands/command-outcome.js';
 import {addOperatorCommands, mergeCommandWords} from './commands/operator-commands.js';
-import {runReportCommand, type ReportCommandOptions} from './commands/report-command.js';
 import {EntryHost, stopOnSignal} from './entry-host.js';
 import {watchLogFilter} from './host-controls.js';
 import {loadSettings, type LoadedSettings} from './load-settings.js';
@@ -28,18 +27,6 @@
 		await host.start();
 	});
 addOperatorCommands(program);
-program
-	.command('report', 'Show service levels: burn, budget left, quality measures, refusals')
-	.option('--settings <file>', 'Settings file (YAML)')
-	.option('--json', 'Print JSON')
-	.option('--html <file>', 'Write a self-contained HTML page')
-	.action(async ({settings: file, ...options}: {settings?: string} & ReportCommandOptions) => {
-		const loaded = readSettings(file);
-		const result = loaded && await runReportCommand(loaded.settings, options);
-		if (result?.isErr()) {
-			printFailures([result.error]);
-		}
-	});
 program.help();
 
 function readSettings(file: string | undefined): LoadedSettings | undefined {
--- a/packages/cli/src/report/collect-levels.ts
+++ b/packages/cli/src/report/collect-levels.ts
@@ -1,14 +1,14 @@
 import {err, ok, type Result} from 'neverthrow';
-import {request} from 'undici';
 import {
 	buildLevelReport, decodeSnapshot, SnapshotStore, type LevelReport, type LevelSnapshot,
 } from '@tanagerrail/measuring';
-import {keyHeader} from '@tanagerrail/peers';
 import {
-	createHttpHostList, createS3Objects, HostRole, type ListedHost,
-} from '@tanagerrail/platform';
+	createOperatorClient, decodeResult, describeControlError, type LevelHost,
+} from '@tanagerrail/peers';
+import {createHttpHostList, createS3Objects, HostRole} from '@tanagerrail/platform';
 import {createFailure, formatFailure, type Failure} from '@tanagerrail/results';
-import {levelsPath} from '../host-levels.js';
+import type {OperatorTarget} from '../commands/operator-options.js';
+import {sendOperatorCall} from '../commands/send-operator-call.js';
 import type {Settings} from '../settings.js';
 
 /** Time allowed for one host's answer, in milliseconds. */
@@ -17,22 +17,36 @@
 /** A report and what stood in the way of a whole one. */
 export type CollectedLevels = {readonly report: LevelReport; readonly warnings: readonly string[]};
 
+/** Snapshots in the object store. */
+type StoredSnapshots = {readonly snapshots: readonly LevelSnapshot[]; readonly unreadable: readonly string[]};
+
+/** Where the counts come from. */
+export type LevelSources = {
+	/** Lists the entry hosts that should answer. */
+	readonly listHosts: () => Promise<Result<LevelHost[], Failure>>;
+	readonly readStored: () => Promise<Result<StoredSnapshots, Failure>>;
+	/** Key of operators. */
+	readonly key: string;
+};
+
 /**
  * Collects the counts of all listed hosts and of the snapshots in the object store.
  *
- * @param settings - Addresses and keys.
- * @returns The report, or `host-list-unavailable`; an object store that is down is a warning.
+ * @param sources - Where from.
+ * @returns The report, or why the hosts cannot be listed; an object store that is down is a warning.
  */
-export async function collectLevels({platform, keys}: Pick<Settings, 'platform' | 'keys'>): Promise<Result<CollectedLevels, Failure>> {
-	const listed = await createHttpHostList({url: platform.hostList.url}).list();
+export async function collectLevels({listHosts, readStored, key}: LevelSources): Promise<Result<CollectedLevels, Failure>> {
+	const listed = await listHosts();
 	if (listed.isErr()) {
 		return err(listed.error);
 	}
 
-	const warnings: string[] = [];
-	const entries = listed.value.filter(({role}) => role === HostRole.entry);
-	const answers = await Promise.all(entries.map(async host => fetchSnapshot(host, keys.admin[0]!)));
+	const [answers, stored] = await Promise.all([
+		Promise.all(listed.value.map(async host => fetchSnapshot(host, key))),
+		readStored(),
+	]);
 	const live: LevelSnapshot[] = [];
+	const warnings: string[] = [];
 	for (const answer of answers) {
 		if (answer.isOk()) {
 			live.push(answer.value);
@@ -41,47 +55,80 @@
 		}
 	}
 
-	const {snapshots, unreadable, warning} = await readStored(platform);
-	if (warning) {
-		warnings.push(warning);
-	}
-
+	const {snapshots, unreadable} = stored.match(value => value, failure => {
+		warnings.push(formatFailure(failure));
+		return {snapshots: [], unreadable: ['reports/']};
+	});
 	return ok({
 		report: buildLevelReport({
-			now: Date.now(), live, stored: snapshots, unreadable, listedHostIds: entries.map(({id}) => id),
+			now: Date.now(), live, stored: snapshots, unreadable, listedHostIds: listed.value.map(({id}) => id),
 		}),
 		warnings,
 	});
 }
 
-async function fetchSnapshot({id, adminAddress}: ListedHost, key: string): Promise<Result<LevelSnapshot, Failure>> {
+/**
+ * Creates sources that read the platform directly.
+ *
+ * @param settings - Addresses and keys.
+ * @returns Sources; failures `host-list-unavailable` and `object-unavailable`.
+ */
+export function createPlatformSources({platform, keys}: Pick<Settings, 'platform' | 'keys'>): LevelSources {
+	const {objects, credentials} = platform;
+	return {
+		key: keys.admin[0]!,
+		async listHosts() {
+			const listed = await createHttpHostList({url: platform.hostList.url}).list();
+			return listed.map(hosts => hosts.filter(({role}) => role === HostRole.entry).map(({id, adminAddress}) => ({id, adminAddress})));
+		},
+		async readStored() {
+			if (!objects) {
+				return ok({snapshots: [], unreadable: []});
+			}
+
+			const store = createS3Objects({...objects, ...(credentials && {credentials})});
+			const stored = await new SnapshotStore(store).readAll();
+			store.close();
+			return stored;
+		},
+	};
+}
+
+/**
+ * Creates sources that ask a host for the host list and the stored snapshots.
+ *
+ * @param target - Admin addresses and key.
+ * @returns Sources; failures `peer-unreachable`, `peer-unauthorized` and `object-unavailable`.
+ */
+export function createOperatorSources(target: OperatorTarget): LevelSources {
+	return {
+		key: target.key,
+		listHosts: async () => sendOperatorCall(target, async (client, signal) => client.levelHosts.query(undefined, {signal})),
+		async readStored() {
+			const called = await sendOperatorCall(target, async (client, signal) => client.storedLevels.query(undefined, {signal}));
+			const stored = called.andThen(wire => decodeResult(wire));
+			return stored.isErr() ? err(stored.error) : ok(await decodeStored(stored.value.snapshots, stored.value.unreadable));
+		},
+	};
+}
+
+async function decodeStored(encoded: readonly string[], unreadable: readonly string[]): Promise<StoredSnapshots> {
+	const decoded = await Promise.all(encoded.map(async text => decodeSnapshot(Buffer.from(text, 'base64'), 'stored')));
+	return {
+		snapshots: decoded.flatMap(result => result.isOk() ? [result.value] : []),
+		unreadable: [...unreadable, ...decoded.filter(result => result.isErr()).map(() => 'stored')],
+	};
+}
+
+async function fetchSnapshot({id, adminAddress}: LevelHost, key: string): Promise<Result<LevelSnapshot, Failure>> {
 	if (adminAddress === undefined) {
 		return err(createFailure('peer-unreachable', {host: id, reason: 'it is listed without an admin address'}));
 	}
 
 	try {
-		const {statusCode, body} = await request(`http://${adminAddress}${levelsPath}`, {headers: {[keyHeader]: key}, signal: AbortSignal.timeout(hostMilliseconds)});
-		const content = await body.bytes();
-		return statusCode === 200
-			? await decodeSnapshot(content, id)
-			: err(createFailure('peer-unreachable', {host: id, reason: `status ${statusCode}`}));
+		const encoded = await createOperatorClient({address: adminAddress, key}).levels.query(undefined, {signal: AbortSignal.timeout(hostMilliseconds)});
+		return await decodeSnapshot(Buffer.from(encoded, 'base64'), id);
 	} catch (error) {
-		const {code, name} = error as NodeJS.ErrnoException;
-		return err(createFailure('peer-unreachable', {host: id, reason: code ?? name}));
-	}
-}
-
-type StoredSnapshots = {readonly snapshots: LevelSnapshot[]; readonly unreadable: string[]; readonly warning?: string};
-
-async function readStored({objects, credentials}: Settings['platform']): Promise<StoredSnapshots> {
-	if (!objects) {
-		return {snapshots: [], unreadable: []};
+		return err(describeControlError(error, id));
 	}
-
-	const store = createS3Objects({...objects, ...(credentials && {credentials})});
-	const stored = await new SnapshotStore(store).readAll();
-	store.close();
-	return stored.match<StoredSnapshots>(value => value, failure => ({
-		snapshots: [], unreadable: ['reports/'], warning: formatFailure(failure),
-	}));
 }
--- a/packages/peers/src/operator-router.ts
+++ b/packages/peers/src/operator-router.ts
@@ -15,6 +15,22 @@
 /** Status of one host, or why it did not report. */
 export type ReportedStatus = {readonly hostId: string; readonly status?: HostStatus; readonly failure?: Failure};
 
+/** Service-level counts that a host serves; snapshots are gzip-compressed JSON in Base64. */
+export type LevelCalls = {
+	/** Takes the counts of this host. */
+	readonly takeSnapshot: () => Promise<string>;
+	/** Reads the snapshots in the object store. */
+	readonly readStored: () => Promise<Result<StoredLevels, Failure>>;
+	/** Lists the entry hosts that should answer, by the host's view. */
+	readonly listHosts: () => LevelHost[];
+};
+
+/** Snapshots in the object store and the keys of those that cannot be read. */
+export type StoredLevels = {readonly snapshots: readonly string[]; readonly unreadable: readonly string[]};
+
+/** An entry host with its admin address, if it is listed with one. */
+export type LevelHost = {readonly id: string; readonly adminAddress?: string};
+
 /** Options of {@link createOperatorRouter}. */
 export type OperatorRouterOptions = {
 	/** Access to the table; nothing when the settings name no table service. */
@@ -23,6 +39,7 @@
 	readonly announcer: RevisionAnnouncer;
 	/** Collects the status of all live hosts. */
 	readonly collectStatus: () => Promise<ReportedStatus[]>;
+	readonly levels: LevelCalls;
 };
 
 const decisionSchema = z.object({
@@ -41,9 +58,10 @@
  * Creates the router that a host serves to operators on its admin address.
  *
  * @param options - What it serves.
- * @returns Procedures: `planAnswers`, `applyAnswers`, `revertAnswers`, `history`, `getRevision`, `approvals`, `revoke`, `status`.
+ * @returns Procedures: `planAnswers`, `applyAnswers`, `revertAnswers`, `history`, `getRevision`, `approvals`, `revoke`, `status`,
+ * `levels`, `storedLevels`, `levelHosts`.
  */
-export function createOperatorRouter({answers, keeper, announcer, collectStatus}: OperatorRouterOptions) {
+export function createOperatorRouter({answers, keeper, announcer, collectStatus, levels}: OperatorRouterOptions) {
 	const {procedure, router} = controlTrpc;
 	const {manager, store} = answers ?? {};
 	const settleApplied = async (result: Result<AppliedChange, Refusal>): Promise<WireResult<AppliedReach, Refusal>> => {
@@ -68,6 +86,9 @@
 		approvals: procedure.query(async () => withStore(found => found.listApprovals())),
 		revoke: procedure.input(z.object({kind: z.string()})).mutation(async ({input}) => withStore(found => found.revokeApproval(input.kind).map(() => input.kind))),
 		status: procedure.query(async () => collectStatus()),
+		levels: procedure.query(async () => levels.takeSnapshot()),
+		storedLevels: procedure.query(async () => encodeResult(await levels.readStored())),
+		levelHosts: procedure.query(() => levels.listHosts()),
 	});
 }
 
--- a/packages/results/src/result-codes.ts
+++ b/packages/results/src/result-codes.ts
@@ -158,6 +158,9 @@
 	'tls-unusable': {
 		number: 7005, status: 400, outcome: Outcome.notRun, message: 'Certificate {certificate} with key {key} cannot be used: {reason}.',
 	},
+	'file-unwritable': {
+		number: 7006, status: 500, outcome: Outcome.notRun, message: '{file} cannot be written: {reason}.',
+	},
 	'usage-invalid': {
 		number: 7004, status: 400, outcome: Outcome.notRun, message: 'The command line is invalid: {reason}.',
 	},
