feat(peers): send control calls over TLS when the peers' listener does

Cause: with TLS on the peers' listener, links used it but control calls did not, so changes would not have been announced.

Change: control links take the certificate authorities of peers and use undici with them; the clients are made anew when the authorities change.

Conclusion: all traffic between peers is served over TLS when the settings say so.

--- a/packages/cli/src/control-plane.ts
+++ b/packages/cli/src/control-plane.ts
@@ -25,6 +25,8 @@
 	readonly onApplied: (configuration: Configuration) => void;
 	readonly describeHost: () => HostStatus;
 	readonly levels: LevelCalls;
+	/** Returns the certificate authorities of peers as PEM; calls to peers use TLS when it is given. */
+	readonly getAuthority?: () => string | undefined;
 };
 
 /** The configuration of one host and the control calls of its peers and operators. */
@@ -37,9 +39,9 @@
 
 	constructor(options: Omit<ControlPlaneOptions, 'random'> & Partial<ControlPlaneOptions>) {
 		this.#options = {random: Math.random, ...options};
-		const {settings: {host, keys}, directory, clock, table, initial, onApplied, describeHost, levels} = options;
+		const {settings: {host, keys}, directory, clock, table, initial, onApplied, describeHost, levels, getAuthority} = options;
 		const store = table && new RevisionStore({table});
-		this.#clients = new PeerControlClients({directory, key: keys.peers[0]!});
+		this.#clients = new PeerControlClients({directory, key: keys.peers[0]!, getAuthority});
 		this.keeper = new ConfigurationKeeper({
 			clock,
 			readCurrent: store && (() => store.readCurrent()),
--- a/packages/cli/src/entry-host.ts
+++ b/packages/cli/src/entry-host.ts
@@ -61,6 +61,7 @@
 		const {host, keys, platform, metrics, listen, limits} = settings;
 		const callerTls = listen.callers.tls && new TlsFiles(listen.callers.tls);
 		const peerTls = listen.peers.tls && new TlsFiles(listen.peers.tls);
+		const getAuthority = peerTls && (() => peerTls.contents?.authority);
 		setCommonLogFields({host: host.id, failureDomain: host.failureDomain});
 		setLogFilter(settings.log.filter);
 		this.#objects = platform.objects && createS3Objects({...platform.objects, ...(platform.credentials && {credentials: platform.credentials})});
@@ -87,6 +88,7 @@
 			},
 			describeHost: () => this.#describe(),
 			levels: this.#levels,
+			getAuthority,
 		});
 		this.#pauseDetector = new PauseDetector({
 			clock,
@@ -102,7 +104,7 @@
 			registry: this.#registry,
 			clock,
 			key: keys.peers[0]!,
-			getAuthority: peerTls && (() => peerTls.contents?.authority),
+			getAuthority,
 			getRevision,
 			onRevision,
 			checkPause: () => {
--- a/packages/cli/tests/tls.test.ts
+++ b/packages/cli/tests/tls.test.ts
@@ -3,10 +3,13 @@
 import path from 'node:path';
 import {setTimeout as wait} from 'node:timers/promises';
 import {connect} from 'node:tls';
+import {createTRPCClient} from '@trpc/client';
 import {test} from 'tap';
 import {Agent, request} from 'undici';
 import {createListenerServer, TlsFiles} from '@tanagerrail/http';
-import {LinkState, SlotLink} from '@tanagerrail/peers';
+import {
+	createControlLink, LinkState, peerControlPath, SlotLink, type PeerControlRouter,
+} from '@tanagerrail/peers';
 import {StandInHostList} from '@tanagerrail/stand-ins';
 import {readMonotonicClock} from '@tanagerrail/telemetry';
 import {EntryHost} from '../src/entry-host.js';
@@ -119,4 +122,13 @@
 	t.equal(await openLink('another-key-0123456789', () => authority), false);
 	t.equal(await openLink(keys[0]!), false, 'a peer without TLS is refused');
 	t.same(links.map(({state}) => state === LinkState.open), [true, true, false, false]);
+
+	const control = (trusted?: string) => createTRPCClient<PeerControlRouter>({
+		links: [createControlLink({
+			address: `127.0.0.1:${ports.peers}`, path: peerControlPath, key: keys[1]!, authority: trusted,
+		})],
+	});
+	const status = await control(authority).getStatus.query();
+	t.equal(status.hostId, 'a', 'control calls between peers use TLS, too');
+	await t.rejects(control().getStatus.query());
 });
--- a/packages/peers/src/control-link.ts
+++ b/packages/peers/src/control-link.ts
@@ -1,3 +1,4 @@
+import {Agent, fetch} from 'undici';
 import {httpLink, TRPCClientError, type TRPCLink} from '@trpc/client';
 import type {AnyRouter} from '@trpc/server';
 import {createFailure, type Failure} from '@tanagerrail/results';
@@ -15,6 +16,8 @@
 	/** Path prefix of the calls. */
 	readonly path: string;
 	readonly key: string;
+	/** Certificate authorities of the other process as PEM; calls use TLS when they are given. */
+	readonly authority?: string;
 };
 
 /**
@@ -23,12 +26,13 @@
  * @param options - Where to send calls and with which key.
  * @returns A link for `createTRPCClient`.
  */
-export function createControlLink<R extends AnyRouter>({address, path, key}: ControlLinkOptions): TRPCLink<R> {
+export function createControlLink<R extends AnyRouter>({address, path, key, authority}: ControlLinkOptions): TRPCLink<R> {
+	const dispatcher = authority === undefined ? undefined : new Agent({connect: {ca: authority}});
 	const options = {
-		url: `http://${address}${path.slice(0, -1)}`,
+		url: `${dispatcher ? 'https' : 'http'}://${address}${path.slice(0, -1)}`,
 		headers: {[keyHeader]: key},
 		async fetch(url: string, init?: RequestInit) {
-			const response = await fetch(url, init);
+			const response = await fetch(url, {...init, dispatcher} as never);
 			if (response.status === unauthorizedStatus) {
 				await response.body?.cancel();
 				throw new UnauthorizedError();
--- a/packages/peers/src/peer-control-clients.ts
+++ b/packages/peers/src/peer-control-clients.ts
@@ -12,6 +12,8 @@
 export type PeerControlClientsOptions = {
 	readonly directory: HostDirectory;
 	readonly key: string;
+	/** Returns the certificate authorities of peers as PEM; calls use TLS when it is given. */
+	readonly getAuthority?: () => string | undefined;
 	/** Time allowed for one call, in milliseconds. */
 	readonly timeoutMilliseconds: number;
 };
@@ -19,7 +21,7 @@
 /** Defaults of {@link PeerControlClientsOptions}; an accepted change has to be in force within 3 s. */
 export const defaultPeerControlClientsOptions = {timeoutMilliseconds: 500};
 
-type PeerClient = {readonly address: string; readonly client: TRPCClient<PeerControlRouter>};
+type PeerClient = {readonly address: string; readonly authority: string | undefined; readonly client: TRPCClient<PeerControlRouter>};
 
 /** Control calls to peers. Failures: `peer-unreachable` and `peer-unauthorized`. */
 export class PeerControlClients {
@@ -71,19 +73,24 @@
 	}
 
 	#getClient(hostId: string): PeerClient['client'] | undefined {
-		const {directory, key} = this.#options;
+		const {directory, key, getAuthority} = this.#options;
+		const authority = getAuthority?.();
 		const address = directory.find(hostId)?.peerAddress;
 		if (address === undefined) {
 			return undefined;
 		}
 
 		const known = this.#clients.get(hostId);
-		if (known?.address === address) {
+		if (known?.address === address && known.authority === authority) {
 			return known.client;
 		}
 
-		const client = createTRPCClient<PeerControlRouter>({links: [createControlLink({address, path: peerControlPath, key})]});
-		this.#clients.set(hostId, {address, client});
+		const client = createTRPCClient<PeerControlRouter>({
+			links: [createControlLink({
+				address, path: peerControlPath, key, authority,
+			})],
+		});
+		this.#clients.set(hostId, {address, authority, client});
 		return client;
 	}
 }
