--- a/packages/cli/src/entry-host.ts
+++ b/packages/cli/src/entry-host.ts
@@ -20,7 +20,7 @@
 import {ControlPlane} from './control-plane.js';
 import {createHostClaims, type HostClaims} from './host-claims.js';
 import {logFilterPath, serveLogFilter} from './host-controls.js';
-import {HostLevels, levelsPath} from './host-levels.js';
+import {HostLevels} from './host-levels.js';
 import {HostMetrics} from './host-metrics.js';
 import type {Settings} from './settings.js';
 
@@ -60,18 +60,19 @@
 		const {host, keys, platform, metrics, listen, limits} = settings;
 		const callerTls = listen.callers.tls && new TlsFiles(listen.callers.tls);
 		const peerTls = listen.peers.tls && new TlsFiles(listen.peers.tls);
+		const getAuthority = peerTls && (() => peerTls.contents?.authority);
 		setCommonLogFields({host: host.id, failureDomain: host.failureDomain});
 		setLogFilter(settings.log.filter);
+		this.#objects = platform.objects && createS3Objects({...platform.objects, ...(platform.credentials && {credentials: platform.credentials})});
 		const getRevision = () => this.#control.keeper.revision;
 		const onRevision = (revision: number, hostId: string) => {
 			this.#control.keeper.handleNamed(revision, hostId);
 		};
 
-		this.#objects = platform.objects && createS3Objects({...platform.objects, ...(platform.credentials && {credentials: platform.credentials})});
+		this.#directory = new HostDirectory({hostList: createHttpHostList({url: platform.hostList.url}), clock});
 		this.#levels = new HostLevels({
-			hostId: host.id, incarnation: this.#incarnation, getConfiguration: () => this.#control.keeper.latest, objects: this.#objects, getAdminKeys: () => keys.admin,
+			hostId: host.id, incarnation: this.#incarnation, getConfiguration: () => this.#control.keeper.latest, directory: this.#directory, objects: this.#objects,
 		});
-		this.#directory = new HostDirectory({hostList: createHttpHostList({url: platform.hostList.url}), clock});
 		this.#table = platform.table && createDynamoTable({url: platform.table.url, table: platform.table.name, ...(platform.credentials && {credentials: platform.credentials})});
 		this.#control = new ControlPlane({
 			settings, directory: this.#directory, clock, table: this.#table, initial: configuration,
@@ -79,6 +80,8 @@
 				this.#registry.updateConfiguration();
 			},
 			describeHost: () => this.#describe(),
+			levels: this.#levels,
+			getAuthority,
 		});
 		this.#claims = createHostClaims({
 			settings, incarnation: this.#incarnation, directory: this.#directory, getConfiguration: () => this.#control.keeper.latest,
@@ -106,7 +109,7 @@
 			registry: this.#registry,
 			clock,
 			key: keys.peers[0]!,
-			getAuthority: peerTls && (() => peerTls.contents?.authority),
+			getAuthority,
 			getRevision,
 			onRevision,
 			checkPause: () => {
@@ -250,11 +253,6 @@
 			return;
 		}
 
-		if (req.url === levelsPath) {
-			void this.#levels.serve(req, res);
-			return;
-		}
-
 		if (req.url === logFilterPath) {
 			void serveLogFilter(req, res, this.#settings.keys.admin);
 			return;
