--- a/packages/cli/src/commands/answers-check.ts
+++ b/packages/cli/src/commands/answers-check.ts
@@ -18,7 +18,7 @@
 
 	const parsed = parseAnswers(text.value);
 	if (parsed.isOk()) {
-		return {lines: [`${file}: no problem in ${parsed.value.services.length} services`], data: {file, problems: []}};
+		return {lines: [`${file}: no problem found, services: ${parsed.value.services.length}`], data: {file, problems: []}};
 	}
 
 	const problems = parsed.error;
--- a/packages/configuration/tests/answers-manager.test.ts
+++ b/packages/configuration/tests/answers-manager.test.ts
@@ -54,6 +54,21 @@
 	t.match(await getError(manager.revert(9, createRequest(''))), {failure: {id: 'revision-unknown'}});
 });
 
+test('an approval that is revoked at the same moment refuses the change that relies on it', async t => {
+	const {manager, table} = await createManager();
+	await manager.apply(createRequest(createEdit(12_000), {approve: ['deadline-keyed']}));
+	let writes = 0;
+	table.chooseFault = kind => {
+		if (kind === 'write' && writes++ === 0) {
+			table.items.delete('approval#deadline-keyed');
+		}
+
+		return undefined;
+	};
+
+	t.match(await getError(manager.apply(createRequest(createEdit(11_000)))), {failure: {id: 'approval-conflict'}});
+});
+
 test('a conflict names the other operator and what they changed', async t => {
 	const {manager} = await createManager();
 	await manager.apply(createRequest(createEdit(12_000), {by: 'jaan', approve: ['deadline-keyed']}));
