--- a/packages/cli/src/control-plane.ts
+++ b/packages/cli/src/control-plane.ts
@@ -19,10 +19,12 @@
 	readonly random: () => number;
 	/** The table service; nothing when the settings name none. */
 	readonly table: TableService | undefined;
+	/** Returns the certificate authorities of peers as PEM; calls to peers use TLS when it is given. */
+	readonly getPeerAuthority?: () => string | undefined;
 	/** Configuration that is used until a revision is known. */
 	readonly initial: Configuration | undefined;
 	/** Called after each change of the configuration in force. */
-	readonly onApplied: (configuration: Configuration) => void;
+	readonly onApplied: () => void;
 	readonly describeHost: () => HostStatus;
 };
 
@@ -36,9 +38,9 @@
 
 	constructor(options: Omit<ControlPlaneOptions, 'random'> & Partial<ControlPlaneOptions>) {
 		this.#options = {random: Math.random, ...options};
-		const {settings: {host, keys}, directory, clock, table, initial, onApplied, describeHost} = options;
+		const {settings: {host, keys}, directory, clock, table, initial, onApplied, describeHost, getPeerAuthority} = options;
 		const store = table && new RevisionStore({table});
-		this.#clients = new PeerControlClients({directory, key: keys.peers[0]!});
+		this.#clients = new PeerControlClients({directory, key: keys.peers[0]!, getAuthority: getPeerAuthority});
 		this.keeper = new ConfigurationKeeper({
 			clock,
 			readCurrent: store && (() => store.readCurrent()),
--- a/packages/cli/src/entry-host.ts
+++ b/packages/cli/src/entry-host.ts
@@ -4,7 +4,9 @@
 } from 'node:http';
 import process from 'node:process';
 import type {Configuration} from '@tanagerrail/configuration';
-import {CallerListener, EndpointConnections, type RequestContext} from '@tanagerrail/http';
+import {
+	AttemptPolicies, CallerListener, createListenerServer, EndpointConnections, TlsFiles, type RequestContext,
+} from '@tanagerrail/http';
 import {HostDirectory, PauseDetector} from '@tanagerrail/membership';
 import {
 	AllocatorRegistry, SlotRouter, SlotServer, type HostStatus,
@@ -12,13 +14,14 @@
 import {
 	createDynamoTable, createHttpHostList, createS3Objects, type ObjectStore, type TableService,
 } from '@tanagerrail/platform';
-import {RetryBudget} from '@tanagerrail/routing';
 import {
 	createLogger, createMetrics, listViolations, LogLevel, readMonotonicClock, setCommonLogFields, setLogFilter,
 } from '@tanagerrail/telemetry';
 import {ControlPlane} from './control-plane.js';
 import {createHostClaims, type HostClaims} from './host-claims.js';
+import {logFilterPath, serveLogFilter} from './host-controls.js';
 import {HostLevels, levelsPath} from './host-levels.js';
+import {HostMetrics} from './host-metrics.js';
 import type {Settings} from './settings.js';
 
 const logger = createLogger('host');
@@ -43,17 +46,21 @@
 
 	readonly #objects: ObjectStore | undefined;
 	readonly #levels: HostLevels;
+	readonly #metrics: HostMetrics;
 	readonly #peerServer: Server;
 	readonly #adminServer: Server;
 	readonly #pauseDetector: PauseDetector;
-	readonly #retryBudgets = new Map<string, RetryBudget>();
+	readonly #policies = new AttemptPolicies({getConfiguration: () => this.#control.keeper.latest});
 	readonly #table: TableService | undefined;
 	readonly #control: ControlPlane;
 	#isStopping = false;
 
 	constructor(settings: Settings, configuration?: Configuration) {
 		this.#settings = settings;
-		const {host, keys, platform, metrics} = settings;
+		const {host, keys, platform, metrics, listen, limits} = settings;
+		const callerTls = listen.callers.tls && new TlsFiles(listen.callers.tls);
+		const peerTls = listen.peers.tls && new TlsFiles(listen.peers.tls);
+		const getPeerAuthority = peerTls && (() => peerTls.contents?.authority);
 		setCommonLogFields({host: host.id, failureDomain: host.failureDomain});
 		setLogFilter(settings.log.filter);
 		const getRevision = () => this.#control.keeper.revision;
@@ -61,24 +68,31 @@
 			this.#control.keeper.handleNamed(revision, hostId);
 		};
 
-		this.#objects = platform.objects && createS3Objects(platform.objects);
+		this.#objects = platform.objects && createS3Objects({...platform.objects, ...(platform.credentials && {credentials: platform.credentials})});
+		this.#directory = new HostDirectory({hostList: createHttpHostList({url: platform.hostList.url}), clock});
+		this.#table = platform.table && createDynamoTable({url: platform.table.url, table: platform.table.name, ...(platform.credentials && {credentials: platform.credentials})});
+		this.#control = new ControlPlane({
+			settings, directory: this.#directory, clock, table: this.#table, initial: configuration,
+			onApplied: () => {
+				this.#registry.updateConfiguration();
+			},
+			describeHost: () => this.#describe(),
+			getPeerAuthority,
+		});
 		this.#levels = new HostLevels({
 			hostId: host.id, incarnation: this.#incarnation, getConfiguration: () => this.#control.keeper.latest, objects: this.#objects, getAdminKeys: () => keys.admin,
 		});
-		this.#directory = new HostDirectory({hostList: createHttpHostList({url: platform.hostList.url}), clock});
 		this.#claims = createHostClaims({
 			settings, incarnation: this.#incarnation, directory: this.#directory, getConfiguration: () => this.#control.keeper.latest,
 		});
 		this.#registry = new AllocatorRegistry({
-			hostId: host.id, directory: this.#directory, clock, getConfiguration: () => this.#control.keeper.latest,
-		});
-		this.#table = platform.table && createDynamoTable({url: platform.table.url, table: platform.table.name, ...(platform.credentials && {credentials: platform.credentials})});
-		this.#control = new ControlPlane({
-			settings, directory: this.#directory, clock, table: this.#table, initial: configuration,
-			onApplied: applied => {
-				this.#handleApplied(applied);
+			hostId: host.id,
+			directory: this.#directory,
+			clock,
+			getConfiguration: () => this.#control.keeper.latest,
+			onCost: (service, cost) => {
+				this.#levels.recorder.recordCost(service, cost);
 			},
-			describeHost: () => this.#describe(),
 		});
 		this.#pauseDetector = new PauseDetector({
 			clock,
@@ -94,13 +108,14 @@
 			registry: this.#registry,
 			clock,
 			key: keys.peers[0]!,
+			getAuthority: getPeerAuthority,
 			getRevision,
 			onRevision,
 			checkPause: () => {
 				this.#pauseDetector.check();
 			},
 		});
-		this.#peerServer = createServer((req, res) => {
+		this.#peerServer = createListenerServer({}, peerTls).on('request', (req, res) => {
 			if (!this.#control.handlePeer(req, res)) {
 				res.writeHead(404).end();
 			}
@@ -111,7 +126,9 @@
 		this.#adminServer = createServer((req, res) => {
 			this.#handleAdmin(req, res);
 		});
-		this.#listener = new CallerListener({context: this.#createContext(createMetrics({host: metrics.address, port: metrics.port, tags: {host: host.id}}))});
+		const client = createMetrics({host: metrics.address, port: metrics.port, tags: {host: host.id}});
+		this.#listener = new CallerListener({limits, tls: callerTls, context: this.#createContext(client)});
+		this.#metrics = new HostMetrics({metrics: client, clock, getInProgress: () => this.#listener.inProgress});
 	}
 
 	/** Whether the host takes new work. */
@@ -128,6 +145,7 @@
 		const {listen} = this.#settings;
 		this.#pauseDetector.start();
 		this.#levels.start();
+		this.#metrics.start();
 		await this.#directory.start();
 		// Before peers can connect, because an allocator without a configuration would refuse their requests.
 		await this.#control.keeper.start();
@@ -147,6 +165,8 @@
 		this.#isStopping = true;
 		logger.log(LogLevel.info, 'host-stopping');
 		this.#slotServer.announceGoodbye();
+		// This host's own requests go to the next allocator as well, so that both do not hand out the same slots.
+		this.#directory.recordGoodbye(this.#settings.host.id);
 		this.#listener.drain();
 		await waitMilliseconds(lameDuckMilliseconds);
 		this.#listener.stop();
@@ -176,6 +196,7 @@
 		this.#pauseDetector.stop();
 		this.#connections.close();
 		this.#objects?.close();
+		this.#metrics.stop();
 		this.#peerServer.close();
 		this.#adminServer.close();
 		this.#adminServer.closeAllConnections();
@@ -190,25 +211,14 @@
 			claims: this.#claims.service,
 			metrics,
 			getConfiguration: () => this.#control.keeper.configuration,
-			getRetryBudget: service => this.#getRetryBudget(service),
+			getRetryBudget: service => this.#policies.getRetryBudget(service),
+			getHedgePolicy: match => this.#policies.getHedgePolicy(match),
 			record: record => {
 				this.#levels.record(record);
 			},
 		};
 	}
 
-	#getRetryBudget(service: string): RetryBudget {
-		const known = this.#retryBudgets.get(service);
-		if (known) {
-			return known;
-		}
-
-		const ratio = this.#control.keeper.latest?.services.find(({name}) => name === service)?.retryBudget;
-		const budget = new RetryBudget(ratio === undefined ? {} : {ratio});
-		this.#retryBudgets.set(service, budget);
-		return budget;
-	}
-
 	#handlePause(milliseconds: number): void {
 		logger.log(LogLevel.warn, 'host-paused', {milliseconds: Math.round(milliseconds)});
 		this.#router.reset();
@@ -217,17 +227,6 @@
 		void this.#control.keeper.refresh();
 	}
 
-	#handleApplied(configuration: Configuration): void {
-		this.#registry.updateConfiguration(configuration);
-		for (const [service, budget] of this.#retryBudgets) {
-			const ratio = configuration.services.find(({name}) => name === service)?.retryBudget;
-			// A budget whose ratio stays keeps its tokens, so that a change of other fields does not allow more retries.
-			if (ratio !== budget.ratio) {
-				this.#retryBudgets.delete(service);
-			}
-		}
-	}
-
 	#describe(): HostStatus {
 		const {id, failureDomain} = this.#settings.host;
 		return {
@@ -258,6 +257,11 @@
 			return;
 		}
 
+		if (req.url === logFilterPath) {
+			void serveLogFilter(req, res, this.#settings.keys.admin);
+			return;
+		}
+
 		if (!this.#control.handleOperator(req, res)) {
 			res.writeHead(404).end();
 		}
--- a/packages/peers/src/control-link.ts
+++ b/packages/peers/src/control-link.ts
@@ -1,5 +1,6 @@
 import {httpLink, TRPCClientError, type TRPCLink} from '@trpc/client';
 import type {AnyRouter} from '@trpc/server';
+import {Agent, fetch, type Dispatcher} from 'undici';
 import {createFailure, type Failure} from '@tanagerrail/results';
 import {keyHeader} from './verify-key.js';
 
@@ -15,6 +16,8 @@
 	/** Path prefix of the calls. */
 	readonly path: string;
 	readonly key: string;
+	/** Returns the certificate authorities of the other process as PEM; calls use TLS when it is given. */
+	readonly getAuthority?: () => string | undefined;
 };
 
 /**
@@ -23,12 +26,13 @@
  * @param options - Where to send calls and with which key.
  * @returns A link for `createTRPCClient`.
  */
-export function createControlLink<R extends AnyRouter>({address, path, key}: ControlLinkOptions): TRPCLink<R> {
+export function createControlLink<R extends AnyRouter>({address, path, key, getAuthority}: ControlLinkOptions): TRPCLink<R> {
+	const chooseDispatcher = createDispatcherChoice(getAuthority);
 	const options = {
-		url: `http://${address}${path.slice(0, -1)}`,
+		url: `${getAuthority ? 'https' : 'http'}://${address}${path.slice(0, -1)}`,
 		headers: {[keyHeader]: key},
-		async fetch(url: string, init?: RequestInit) {
-			const response = await fetch(url, init);
+		async fetch(url: string, init?: object) {
+			const response = await fetch(url, {...init, dispatcher: chooseDispatcher()});
 			if (response.status === unauthorizedStatus) {
 				await response.body?.cancel();
 				throw new UnauthorizedError();
@@ -40,6 +44,24 @@
 	return httpLink(options as never);
 }
 
+/** Replaces the connections when the certificate authorities change. */
+function createDispatcherChoice(getAuthority: ControlLinkOptions['getAuthority']): () => Dispatcher | undefined {
+	let known: {readonly authority: string | undefined; readonly agent: Agent} | undefined;
+	return () => {
+		if (!getAuthority) {
+			return undefined;
+		}
+
+		const authority = getAuthority();
+		if (known?.authority !== authority || !known) {
+			void known?.agent.close();
+			known = {authority, agent: new Agent({connect: {ca: authority}})};
+		}
+
+		return known.agent;
+	};
+}
+
 /**
  * Describes why a control call failed.
  *
