--- a/packages/cli/src/control-plane.ts
+++ b/packages/cli/src/control-plane.ts
@@ -19,10 +19,12 @@
 	readonly random: () => number;
 	/** The table service; nothing when the settings name none. */
 	readonly table: TableService | undefined;
+	/** Returns the certificate authorities of peers as PEM; calls to peers use TLS when it is given. */
+	readonly getPeerAuthority?: () => string | undefined;
 	/** Configuration that is used until a revision is known. */
 	readonly initial: Configuration | undefined;
 	/** Called after each change of the configuration in force. */
-	readonly onApplied: (configuration: Configuration) => void;
+	readonly onApplied: () => void;
 	readonly describeHost: () => HostStatus;
 	readonly levels: LevelCalls;
 	/** Returns the certificate authorities of peers as PEM; calls to peers use TLS when it is given. */
--- a/packages/peers/src/allocator-registry.ts
+++ b/packages/peers/src/allocator-registry.ts
@@ -177,7 +177,7 @@
 			if (configuration && service) {
 				allocator.updateService(service);
 				prober.update(configuration.measuring);
-			} else if (allocator.waiting === 0 && allocator.inUse === 0) {
+			} else if (configuration && allocator.waiting === 0 && allocator.inUse === 0) {
 				prober.stop();
 				this.#entries.delete(name);
 			}
