feat(peers): beat less on idle links and never wait for a host that failed

Cause: while the first host in rank was frozen, each request that met a new try to connect waited 250 ms for it, and links to replaced hosts were tried for ever.

Ruled out: a shorter wait, because a request of 10 ms work has no time for it at all.

Change: a request waits only for a link's first connection; links to hosts that are no longer listed are closed; links to the allocators of all services are opened when the host list or the configuration changes. Heartbeats fill gaps of 100 ms, of 250 ms on links without slot requests.

--- a/packages/cli/src/entry-host.ts
+++ b/packages/cli/src/entry-host.ts
@@ -78,6 +78,7 @@
 			settings, directory: this.#directory, clock, table: this.#table, initial: configuration,
 			onApplied: () => {
 				this.#registry.updateConfiguration();
+				this.#router.connect();
 			},
 			describeHost: () => this.#describe(),
 			levels: this.#levels,
@@ -110,6 +111,7 @@
 			clock,
 			key: keys.peers[0]!,
 			getAuthority,
+			getServices: () => (this.#control.keeper.latest?.services ?? []).map(({name}) => name),
 			getRevision,
 			onRevision,
 			checkPause: () => {
--- a/packages/peers/src/slot-link.ts
+++ b/packages/peers/src/slot-link.ts
@@ -14,6 +14,9 @@
 
 const logger = createLogger('peers');
 
+/** A link on which no slot was asked for within this time is idle, in milliseconds. */
+const idleAfterMilliseconds = 1000;
+
 /** State of a link. */
 export const LinkState = {connecting: 'connecting', open: 'open', closed: 'closed'} as const;
 
@@ -38,8 +41,10 @@
 	readonly onNotice: (message: AllocatorNotice, link: SlotLink) => void;
 	/** Called when the connection is gone; everything the allocator gave is void then, except slots in use. */
 	readonly onClosed: (link: SlotLink) => void;
-	/** Time between heartbeats, in milliseconds. */
+	/** Longest gap between messages while slots are asked for, in milliseconds. */
 	readonly beatMilliseconds: number;
+	/** Longest gap between messages otherwise, in milliseconds. */
+	readonly idleBeatMilliseconds: number;
 	/** A link without any message for this long is given up, in milliseconds. */
 	readonly silenceMilliseconds: number;
 	/** A leased slot is used only when the allocator was heard of within this time, in milliseconds. */
@@ -50,7 +55,7 @@
 
 /** Defaults of {@link SlotLinkOptions}. */
 export const defaultSlotLinkOptions = {
-	beatMilliseconds: 100, silenceMilliseconds: 500, leaseMilliseconds: 300, retryMilliseconds: 250,
+	beatMilliseconds: 100, idleBeatMilliseconds: 250, silenceMilliseconds: 500, leaseMilliseconds: 300, retryMilliseconds: 250,
 };
 
 /** Messages of an allocator that answer no request. */
@@ -72,7 +77,10 @@
 	#socket: WebSocket | undefined;
 	#state: LinkState = LinkState.connecting;
 	#waiting: Array<() => void> = [];
+	#hasFailed = false;
 	#lastMessageAt = 0;
+	#lastBeatAt = 0;
+	#lastAcquireAt = -Infinity;
 	#nextId = 1;
 	#bytes = {sent: 0, received: 0};
 
@@ -112,6 +120,10 @@
 		return this.#options.peerId;
 	}
 
+	get peerAddress(): string {
+		return this.#options.peerAddress;
+	}
+
 	get state(): LinkState {
 		return this.#state;
 	}
@@ -166,7 +178,8 @@
 	 * @returns Whether the link is open.
 	 */
 	async waitOpen(milliseconds: number): Promise<boolean> {
-		if (this.#state !== LinkState.connecting) {
+		// After a failure the next host in order serves; a request must not wait for each further try.
+		if (this.#state !== LinkState.connecting || this.#hasFailed) {
 			return this.#state === LinkState.open;
 		}
 
@@ -192,6 +205,7 @@
 			};
 
 			this.#services.add(request.service);
+			this.#lastAcquireAt = this.#options.clock();
 			this.#pending.set(id, result => {
 				signal?.removeEventListener('abort', cancel);
 				resolve(result);
@@ -220,6 +234,7 @@
 	 * @param held - The slot.
 	 */
 	adopt(held: HeldSlot): void {
+		this.#lastAcquireAt = this.#options.clock();
 		this.#channel?.send({type: 'adopt', held});
 	}
 
@@ -276,7 +291,7 @@
 		});
 		const timer = setInterval(() => {
 			this.#beat(socket);
-		}, this.#options.beatMilliseconds);
+		}, this.#options.beatMilliseconds / 2);
 		await closed;
 		clearInterval(timer);
 		this.#finishConnection();
@@ -302,6 +317,7 @@
 		});
 		this.#channel.send(buildHello());
 		this.#state = LinkState.open;
+		this.#hasFailed = false;
 		logger.log(LogLevel.info, 'link-opened', {peer: this.peerId});
 		this.#notifyWaiting();
 	}
@@ -316,7 +332,14 @@
 			return;
 		}
 
-		this.#channel?.send({type: 'beat', sequence: this.#nextId});
+		// Any message shows that both sides work, so heartbeats fill gaps only, and fewer of them while nobody asks for slots.
+		const now = this.#options.clock();
+		const {beatMilliseconds, idleBeatMilliseconds} = this.#options;
+		const gap = now - this.#lastAcquireAt < idleAfterMilliseconds ? beatMilliseconds : idleBeatMilliseconds;
+		if (now - Math.max(this.#lastMessageAt, this.#lastBeatAt) >= gap) {
+			this.#lastBeatAt = now;
+			this.#channel?.send({type: 'beat', sequence: this.#nextId});
+		}
 	}
 
 	#finishConnection(): void {
@@ -325,6 +348,7 @@
 		}
 
 		this.#state = LinkState.closed;
+		this.#hasFailed = true;
 		this.#bytes = this.bytes;
 		this.#channel = undefined;
 		this.#services.clear();
--- a/packages/peers/src/slot-router.ts
+++ b/packages/peers/src/slot-router.ts
@@ -27,6 +27,8 @@
 	readonly key: string;
 	/** Returns the certificate authorities of peers as PEM; links use TLS when it is given. */
 	readonly getAuthority?: () => string | undefined;
+	/** Names of the configured services. */
+	readonly getServices: () => readonly string[];
 	readonly getRevision: () => number;
 	readonly onRevision: (revision: number, hostId: string) => void;
 	/** Looks for a pause of the process before a grant is used. */
@@ -78,6 +80,8 @@
 		this.#memory = new HostMemory({clock});
 		directory.onChange(() => {
 			this.#memory.expire(id => directory.has(id));
+			this.#closeStaleLinks();
+			this.connect();
 		});
 		registry.addListener({
 			onCreate: (service, allocator) => {
@@ -101,6 +105,17 @@
 		return new ResultAsync(this.#acquire(request, signal));
 	}
 
+	/** Opens the links to the allocators of all services, so that no request waits for it. */
+	connect(): void {
+		const {directory, hostId, getServices} = this.#options;
+		for (const service of getServices()) {
+			const [first] = directory.rankEntries(service);
+			if (first !== undefined && first !== hostId) {
+				this.#getLink(first);
+			}
+		}
+	}
+
 	/** Discards unused grants and all links after a pause. */
 	reset(): void {
 		this.#epoch += 1;
@@ -292,6 +307,16 @@
 		return link;
 	}
 
+	/** Closes the links to hosts that were replaced. */
+	#closeStaleLinks(): void {
+		for (const [id, link] of this.#links) {
+			if (this.#options.directory.find(id)?.peerAddress !== link.peerAddress) {
+				link.close();
+				this.#links.delete(id);
+			}
+		}
+	}
+
 	#buildHello(): HelloMessage {
 		const {hostId, incarnation, failureDomain} = this.#options;
 		return {
