--- a/packages/cli/src/entry-host.ts
+++ b/packages/cli/src/entry-host.ts
@@ -4,16 +4,24 @@
 } from 'node:http';
 import process from 'node:process';
 import type {Configuration} from '@tanagerrail/configuration';
-import {CallerListener, EndpointConnections, type RequestContext} from '@tanagerrail/http';
+import {
+	AttemptPolicies, CallerListener, createListenerServer, EndpointConnections, TlsFiles, type RequestContext,
+} from '@tanagerrail/http';
 import {HostDirectory, PauseDetector} from '@tanagerrail/membership';
-import {AllocatorRegistry, SlotRouter, SlotServer} from '@tanagerrail/peers';
-import {createHttpHostList, createS3Objects, type ObjectStore} from '@tanagerrail/platform';
-import {RetryBudget} from '@tanagerrail/routing';
 import {
-	createLogger, createMetrics, LogLevel, readMonotonicClock, setCommonLogFields, setLogFilter,
+	AllocatorRegistry, SlotRouter, SlotServer, type HostStatus,
+} from '@tanagerrail/peers';
+import {
+	createDynamoTable, createHttpHostList, createS3Objects, type ObjectStore, type TableService,
+} from '@tanagerrail/platform';
+import {
+	createLogger, createMetrics, listViolations, LogLevel, readMonotonicClock, setCommonLogFields, setLogFilter,
 } from '@tanagerrail/telemetry';
+import {ControlPlane} from './control-plane.js';
 import {createHostClaims, type HostClaims} from './host-claims.js';
+import {logFilterPath, serveLogFilter} from './host-controls.js';
 import {HostLevels, levelsPath} from './host-levels.js';
+import {HostMetrics} from './host-metrics.js';
 import type {Settings} from './settings.js';
 
 const logger = createLogger('host');
@@ -38,31 +46,51 @@
 
 	readonly #objects: ObjectStore | undefined;
 	readonly #levels: HostLevels;
+	readonly #metrics: HostMetrics;
 	readonly #peerServer: Server;
 	readonly #adminServer: Server;
 	readonly #pauseDetector: PauseDetector;
-	readonly #retryBudgets = new Map<string, RetryBudget>();
-	readonly #configuration: Configuration | undefined;
+	readonly #policies = new AttemptPolicies({getConfiguration: () => this.#control.keeper.latest});
+	readonly #table: TableService | undefined;
+	readonly #control: ControlPlane;
 	#isStopping = false;
 
 	constructor(settings: Settings, configuration?: Configuration) {
 		this.#settings = settings;
-		this.#configuration = configuration;
-		const {host, keys, platform, metrics} = settings;
+		const {host, keys, platform, metrics, listen, limits} = settings;
+		const callerTls = listen.callers.tls && new TlsFiles(listen.callers.tls);
+		const peerTls = listen.peers.tls && new TlsFiles(listen.peers.tls);
 		setCommonLogFields({host: host.id, failureDomain: host.failureDomain});
 		setLogFilter(settings.log.filter);
-		this.#objects = platform.objects && createS3Objects(platform.objects);
+		const getRevision = () => this.#control.keeper.revision;
+		const onRevision = (revision: number, hostId: string) => {
+			this.#control.keeper.handleNamed(revision, hostId);
+		};
+
+		this.#objects = platform.objects && createS3Objects({...platform.objects, ...(platform.credentials && {credentials: platform.credentials})});
 		this.#levels = new HostLevels({
-			hostId: host.id, incarnation: this.#incarnation, getConfiguration: () => this.#configuration, objects: this.#objects, getAdminKeys: () => keys.admin,
+			hostId: host.id, incarnation: this.#incarnation, getConfiguration: () => this.#control.keeper.latest, objects: this.#objects, getAdminKeys: () => keys.admin,
 		});
-		const getRevision = () => this.#configuration?.revision ?? 0;
-		const onRevision = () => undefined;
 		this.#directory = new HostDirectory({hostList: createHttpHostList({url: platform.hostList.url}), clock});
 		this.#claims = createHostClaims({
-			settings, incarnation: this.#incarnation, directory: this.#directory, getConfiguration: () => this.#configuration,
+			settings, incarnation: this.#incarnation, directory: this.#directory, getConfiguration: () => this.#control.keeper.latest,
 		});
 		this.#registry = new AllocatorRegistry({
-			hostId: host.id, directory: this.#directory, clock, getConfiguration: () => this.#configuration,
+			hostId: host.id,
+			directory: this.#directory,
+			clock,
+			getConfiguration: () => this.#control.keeper.latest,
+			onCost: (service, cost) => {
+				this.#levels.recorder.recordCost(service, cost);
+			},
+		});
+		this.#table = platform.table && createDynamoTable({url: platform.table.url, table: platform.table.name, ...(platform.credentials && {credentials: platform.credentials})});
+		this.#control = new ControlPlane({
+			settings, directory: this.#directory, clock, table: this.#table, initial: configuration,
+			onApplied: () => {
+				this.#registry.updateConfiguration();
+			},
+			describeHost: () => this.#describe(),
 		});
 		this.#pauseDetector = new PauseDetector({
 			clock,
@@ -78,14 +106,17 @@
 			registry: this.#registry,
 			clock,
 			key: keys.peers[0]!,
+			getAuthority: peerTls && (() => peerTls.contents?.authority),
 			getRevision,
 			onRevision,
 			checkPause: () => {
 				this.#pauseDetector.check();
 			},
 		});
-		this.#peerServer = createServer((_req, res) => {
-			res.writeHead(404).end();
+		this.#peerServer = createListenerServer({}, peerTls).on('request', (req, res) => {
+			if (!this.#control.handlePeer(req, res)) {
+				res.writeHead(404).end();
+			}
 		});
 		this.#slotServer = new SlotServer({
 			server: this.#peerServer, registry: this.#registry, directory: this.#directory, keys: keys.peers, getRevision, onRevision,
@@ -93,12 +124,14 @@
 		this.#adminServer = createServer((req, res) => {
 			this.#handleAdmin(req, res);
 		});
-		this.#listener = new CallerListener({context: this.#createContext(createMetrics({host: metrics.address, port: metrics.port, tags: {host: host.id}}))});
+		const client = createMetrics({host: metrics.address, port: metrics.port, tags: {host: host.id}});
+		this.#listener = new CallerListener({limits, tls: callerTls, context: this.#createContext(client)});
+		this.#metrics = new HostMetrics({metrics: client, clock, getInProgress: () => this.#listener.inProgress});
 	}
 
 	/** Whether the host takes new work. */
 	get isReady(): boolean {
-		return !this.#isStopping && this.#configuration !== undefined;
+		return !this.#isStopping && this.#control.keeper.isReady;
 	}
 
 	/**
@@ -110,7 +143,10 @@
 		const {listen} = this.#settings;
 		this.#pauseDetector.start();
 		this.#levels.start();
+		this.#metrics.start();
 		await this.#directory.start();
+		// Before peers can connect, because an allocator without a configuration would refuse their requests.
+		await this.#control.keeper.start();
 		const peers = await openListener(this.#peerServer, listen.peers);
 		const admin = await openListener(this.#adminServer, listen.admin);
 		const callers = await this.#listener.start({host: listen.callers.address, port: listen.callers.port});
@@ -127,6 +163,8 @@
 		this.#isStopping = true;
 		logger.log(LogLevel.info, 'host-stopping');
 		this.#slotServer.announceGoodbye();
+		// This host's own requests go to the next allocator as well, so that both do not hand out the same slots.
+		this.#directory.recordGoodbye(this.#settings.host.id);
 		this.#listener.drain();
 		await waitMilliseconds(lameDuckMilliseconds);
 		this.#listener.stop();
@@ -147,6 +185,8 @@
 
 	#close(): void {
 		this.#listener.abort();
+		this.#control.keeper.stop();
+		this.#table?.close();
 		this.#router.close();
 		this.#slotServer.close();
 		this.#registry.stop();
@@ -154,6 +194,7 @@
 		this.#pauseDetector.stop();
 		this.#connections.close();
 		this.#objects?.close();
+		this.#metrics.stop();
 		this.#peerServer.close();
 		this.#adminServer.close();
 		this.#adminServer.closeAllConnections();
@@ -167,31 +208,35 @@
 			connections: this.#connections,
 			claims: this.#claims.service,
 			metrics,
-			getConfiguration: () => this.#configuration,
-			getRetryBudget: service => this.#getRetryBudget(service),
+			getConfiguration: () => this.#control.keeper.configuration,
+			getRetryBudget: service => this.#policies.getRetryBudget(service),
+			getHedgePolicy: match => this.#policies.getHedgePolicy(match),
 			record: record => {
 				this.#levels.record(record);
 			},
 		};
 	}
 
-	#getRetryBudget(service: string): RetryBudget {
-		const known = this.#retryBudgets.get(service);
-		if (known) {
-			return known;
-		}
-
-		const ratio = this.#configuration?.services.find(({name}) => name === service)?.retryBudget;
-		const budget = new RetryBudget(ratio === undefined ? {} : {ratio});
-		this.#retryBudgets.set(service, budget);
-		return budget;
-	}
-
 	#handlePause(milliseconds: number): void {
 		logger.log(LogLevel.warn, 'host-paused', {milliseconds: Math.round(milliseconds)});
 		this.#router.reset();
 		this.#slotServer.close();
 		this.#registry.reset();
+		void this.#control.keeper.refresh();
+	}
+
+	#describe(): HostStatus {
+		const {id, failureDomain} = this.#settings.host;
+		return {
+			hostId: id,
+			failureDomain,
+			incarnation: this.#incarnation,
+			revision: this.#control.keeper.revision,
+			isReady: this.isReady,
+			peers: this.#router.links.map(({peerId, state}) => ({hostId: peerId, state})),
+			services: this.#registry.describe(),
+			violations: listViolations(),
+		};
 	}
 
 	#handleAdmin(req: IncomingMessage, res: ServerResponse): void {
@@ -210,7 +255,14 @@
 			return;
 		}
 
-		res.writeHead(404).end();
+		if (req.url === logFilterPath) {
+			void serveLogFilter(req, res, this.#settings.keys.admin);
+			return;
+		}
+
+		if (!this.#control.handleOperator(req, res)) {
+			res.writeHead(404).end();
+		}
 	}
 }
 
