--- a/packages/cli/src/control-plane.ts
+++ b/packages/cli/src/control-plane.ts
@@ -5,7 +5,7 @@
 import type {HostDirectory} from '@tanagerrail/membership';
 import {
 	createControlHandler, createOperatorRouter, createPeerControlRouter, operatorControlPath, PeerControlClients, peerControlPath, RevisionAnnouncer,
-	type ControlHandler, type HostStatus, type ReportedStatus,
+	type ControlHandler, type HostStatus, type LevelCalls, type ReportedStatus,
 } from '@tanagerrail/peers';
 import type {TableService} from '@tanagerrail/platform';
 import type {Clock} from '@tanagerrail/telemetry';
@@ -19,11 +19,16 @@
 	readonly random: () => number;
 	/** The table service; nothing when the settings name none. */
 	readonly table: TableService | undefined;
+	/** Returns the certificate authorities of peers as PEM; calls to peers use TLS when it is given. */
+	readonly getPeerAuthority?: () => string | undefined;
 	/** Configuration that is used until a revision is known. */
 	readonly initial: Configuration | undefined;
 	/** Called after each change of the configuration in force. */
-	readonly onApplied: (configuration: Configuration) => void;
+	readonly onApplied: () => void;
 	readonly describeHost: () => HostStatus;
+	readonly levels: LevelCalls;
+	/** Returns the certificate authorities of peers as PEM; calls to peers use TLS when it is given. */
+	readonly getAuthority?: () => string | undefined;
 };
 
 /** The configuration of one host and the control calls of its peers and operators. */
@@ -36,9 +41,9 @@
 
 	constructor(options: Omit<ControlPlaneOptions, 'random'> & Partial<ControlPlaneOptions>) {
 		this.#options = {random: Math.random, ...options};
-		const {settings: {host, keys}, directory, clock, table, initial, onApplied, describeHost} = options;
+		const {settings: {host, keys}, directory, clock, table, initial, onApplied, describeHost, levels, getAuthority} = options;
 		const store = table && new RevisionStore({table});
-		this.#clients = new PeerControlClients({directory, key: keys.peers[0]!});
+		this.#clients = new PeerControlClients({directory, key: keys.peers[0]!, getAuthority});
 		this.keeper = new ConfigurationKeeper({
 			clock,
 			readCurrent: store && (() => store.readCurrent()),
@@ -55,7 +60,7 @@
 		});
 		this.#handleOperator = createControlHandler({
 			router: createOperatorRouter({
-				answers: store && {manager: new AnswersManager({store}), store}, keeper: this.keeper, announcer, collectStatus: async () => this.#collectStatus(),
+				answers: store && {manager: new AnswersManager({store}), store}, keeper: this.keeper, announcer, collectStatus: async () => this.#collectStatus(), levels,
 			}),
 			path: operatorControlPath,
 			keys: keys.admin,
--- a/packages/cli/src/load-settings.ts
+++ b/packages/cli/src/load-settings.ts
@@ -1,11 +1,10 @@
 import fs from 'node:fs';
-import {closest} from 'fastest-levenshtein';
 import {err, ok, type Result} from 'neverthrow';
 import {
 	isMap, isNode, LineCounter, parseDocument, type Document,
 } from 'yaml';
 import type {z} from 'zod';
-import type {Configuration} from '@tanagerrail/configuration';
+import {findNearestName, type Configuration} from '@tanagerrail/configuration';
 import {TlsFiles} from '@tanagerrail/http';
 import {createFailure, type Failure} from '@tanagerrail/results';
 import {describeExpected, findSchemaNode} from './settings-fields.js';
@@ -73,7 +72,7 @@
 	if (issue.code === 'unrecognized_keys') {
 		const known = Object.keys(findSchemaNode(issue.path)?.properties ?? {});
 		return issue.keys.map(key => createFailure('settings-unknown-field', {
-			file, line: findLine([...issue.path, key], source), field: formatPath([...issue.path, key]), nearest: closest(key, known),
+			file, line: findLine([...issue.path, key], source), field: formatPath([...issue.path, key]), nearest: findNearestName(key, known),
 		}));
 	}
 
--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -8,6 +8,7 @@
 export * from './configuration-keeper.js';
 export * from './configuration.js';
 export * from './default-service-configuration.js';
+export * from './find-nearest-name.js';
 export * from './generate-configuration.js';
 export * from './match-route.js';
 export * from './parse-answers.js';
