--- a/packages/cli/src/entry-host.ts
+++ b/packages/cli/src/entry-host.ts
@@ -8,14 +8,19 @@
 	AttemptPolicies, CallerListener, createListenerServer, EndpointConnections, TlsFiles, type RequestContext,
 } from '@tanagerrail/http';
 import {HostDirectory, PauseDetector} from '@tanagerrail/membership';
-import {AllocatorRegistry, SlotRouter, SlotServer} from '@tanagerrail/peers';
-import {createHttpHostList, createS3Objects, type ObjectStore} from '@tanagerrail/platform';
 import {
-	createLogger, createMetrics, LogLevel, readMonotonicClock, setCommonLogFields, setLogFilter,
+	AllocatorRegistry, SlotRouter, SlotServer, type HostStatus,
+} from '@tanagerrail/peers';
+import {
+	createDynamoTable, createHttpHostList, createS3Objects, type ObjectStore, type TableService,
+} from '@tanagerrail/platform';
+import {
+	createLogger, createMetrics, listViolations, LogLevel, readMonotonicClock, setCommonLogFields, setLogFilter,
 } from '@tanagerrail/telemetry';
+import {ControlPlane} from './control-plane.js';
 import {createHostClaims, type HostClaims} from './host-claims.js';
 import {logFilterPath, serveLogFilter} from './host-controls.js';
-import {HostLevels, levelsPath} from './host-levels.js';
+import {HostLevels} from './host-levels.js';
 import {HostMetrics} from './host-metrics.js';
 import type {Settings} from './settings.js';
 
@@ -45,33 +50,48 @@
 	readonly #peerServer: Server;
 	readonly #adminServer: Server;
 	readonly #pauseDetector: PauseDetector;
-	readonly #policies = new AttemptPolicies({getConfiguration: () => this.#configuration});
-	readonly #configuration: Configuration | undefined;
+	readonly #policies = new AttemptPolicies({getConfiguration: () => this.#control.keeper.latest});
+	readonly #table: TableService | undefined;
+	readonly #control: ControlPlane;
 	#isStopping = false;
 
 	constructor(settings: Settings, configuration?: Configuration) {
 		this.#settings = settings;
-		this.#configuration = configuration;
 		const {host, keys, platform, metrics, listen, limits} = settings;
 		const callerTls = listen.callers.tls && new TlsFiles(listen.callers.tls);
 		const peerTls = listen.peers.tls && new TlsFiles(listen.peers.tls);
+		const getAuthority = peerTls && (() => peerTls.contents?.authority);
 		setCommonLogFields({host: host.id, failureDomain: host.failureDomain});
 		setLogFilter(settings.log.filter);
 		this.#objects = platform.objects && createS3Objects({...platform.objects, ...(platform.credentials && {credentials: platform.credentials})});
+		const getRevision = () => this.#control.keeper.revision;
+		const onRevision = (revision: number, hostId: string) => {
+			this.#control.keeper.handleNamed(revision, hostId);
+		};
+
+		this.#directory = new HostDirectory({hostList: createHttpHostList({url: platform.hostList.url}), clock});
 		this.#levels = new HostLevels({
-			hostId: host.id, incarnation: this.#incarnation, getConfiguration: () => this.#configuration, objects: this.#objects, getAdminKeys: () => keys.admin,
+			hostId: host.id, incarnation: this.#incarnation, getConfiguration: () => this.#control.keeper.latest, directory: this.#directory, objects: this.#objects,
+		});
+		this.#table = platform.table && createDynamoTable({url: platform.table.url, table: platform.table.name, ...(platform.credentials && {credentials: platform.credentials})});
+		this.#control = new ControlPlane({
+			settings, directory: this.#directory, clock, table: this.#table, initial: configuration,
+			onApplied: () => {
+				this.#registry.updateConfiguration();
+				this.#router.connect();
+			},
+			describeHost: () => this.#describe(),
+			levels: this.#levels,
+			getAuthority,
 		});
-		const getRevision = () => this.#configuration?.revision ?? 0;
-		const onRevision = () => undefined;
-		this.#directory = new HostDirectory({hostList: createHttpHostList({url: platform.hostList.url}), clock});
 		this.#claims = createHostClaims({
-			settings, incarnation: this.#incarnation, directory: this.#directory, getConfiguration: () => this.#configuration,
+			settings, incarnation: this.#incarnation, directory: this.#directory, getConfiguration: () => this.#control.keeper.latest,
 		});
 		this.#registry = new AllocatorRegistry({
 			hostId: host.id,
 			directory: this.#directory,
 			clock,
-			getConfiguration: () => this.#configuration,
+			getConfiguration: () => this.#control.keeper.latest,
 			onCost: (service, cost) => {
 				this.#levels.recorder.recordCost(service, cost);
 			},
@@ -90,15 +110,18 @@
 			registry: this.#registry,
 			clock,
 			key: keys.peers[0]!,
-			getAuthority: peerTls && (() => peerTls.contents?.authority),
+			getAuthority,
+			getServices: () => (this.#control.keeper.latest?.services ?? []).map(({name}) => name),
 			getRevision,
 			onRevision,
 			checkPause: () => {
 				this.#pauseDetector.check();
 			},
 		});
-		this.#peerServer = createListenerServer({}, peerTls).on('request', (_req, res) => {
-			res.writeHead(404).end();
+		this.#peerServer = createListenerServer({}, peerTls).on('request', (req, res) => {
+			if (!this.#control.handlePeer(req, res)) {
+				res.writeHead(404).end();
+			}
 		});
 		this.#slotServer = new SlotServer({
 			server: this.#peerServer, registry: this.#registry, directory: this.#directory, keys: keys.peers, getRevision, onRevision,
@@ -113,7 +136,7 @@
 
 	/** Whether the host takes new work. */
 	get isReady(): boolean {
-		return !this.#isStopping && this.#configuration !== undefined;
+		return !this.#isStopping && this.#control.keeper.isReady;
 	}
 
 	/**
@@ -127,6 +150,8 @@
 		this.#levels.start();
 		this.#metrics.start();
 		await this.#directory.start();
+		// Before peers can connect, because an allocator without a configuration would refuse their requests.
+		await this.#control.keeper.start();
 		const peers = await openListener(this.#peerServer, listen.peers);
 		const admin = await openListener(this.#adminServer, listen.admin);
 		const callers = await this.#listener.start({host: listen.callers.address, port: listen.callers.port});
@@ -165,6 +190,8 @@
 
 	#close(): void {
 		this.#listener.abort();
+		this.#control.keeper.stop();
+		this.#table?.close();
 		this.#router.close();
 		this.#slotServer.close();
 		this.#registry.stop();
@@ -186,7 +213,7 @@
 			connections: this.#connections,
 			claims: this.#claims.service,
 			metrics,
-			getConfiguration: () => this.#configuration,
+			getConfiguration: () => this.#control.keeper.configuration,
 			getRetryBudget: service => this.#policies.getRetryBudget(service),
 			getHedgePolicy: match => this.#policies.getHedgePolicy(match),
 			record: record => {
@@ -200,6 +227,21 @@
 		this.#router.reset();
 		this.#slotServer.close();
 		this.#registry.reset();
+		void this.#control.keeper.refresh();
+	}
+
+	#describe(): HostStatus {
+		const {id, failureDomain} = this.#settings.host;
+		return {
+			hostId: id,
+			failureDomain,
+			incarnation: this.#incarnation,
+			revision: this.#control.keeper.revision,
+			isReady: this.isReady,
+			peers: this.#router.links.map(({peerId, state}) => ({hostId: peerId, state})),
+			services: this.#registry.describe(),
+			violations: listViolations(),
+		};
 	}
 
 	#handleAdmin(req: IncomingMessage, res: ServerResponse): void {
@@ -213,17 +255,14 @@
 			return;
 		}
 
-		if (req.url === levelsPath) {
-			void this.#levels.serve(req, res);
-			return;
-		}
-
 		if (req.url === logFilterPath) {
 			void serveLogFilter(req, res, this.#settings.keys.admin);
 			return;
 		}
 
-		res.writeHead(404).end();
+		if (!this.#control.handleOperator(req, res)) {
+			res.writeHead(404).end();
+		}
 	}
 }
 
--- a/packages/http/src/attempt-policies.ts
+++ b/packages/http/src/attempt-policies.ts
@@ -50,14 +50,20 @@
 		return policy;
 	}
 
+	/** Drops what a new configuration changes; other budgets keep their tokens, so that a change allows no more retries. */
 	#expire(): void {
-		const revision = this.#getConfiguration()?.revision;
-		if (revision === this.#revision) {
+		const configuration = this.#getConfiguration();
+		if (configuration?.revision === this.#revision) {
 			return;
 		}
 
-		this.#revision = revision;
-		this.#retryBudgets.clear();
+		this.#revision = configuration?.revision;
+		for (const [name, budget] of this.#retryBudgets) {
+			if (configuration?.services.find(service => service.name === name)?.retryBudget !== budget.ratio) {
+				this.#retryBudgets.delete(name);
+			}
+		}
+
 		this.#hedgePolicies.clear();
 	}
 }
