--- a/packages/bench/src/chaos/chaos-command.ts
+++ b/packages/bench/src/chaos/chaos-command.ts
@@ -8,7 +8,7 @@
 
 type ChaosCommandOptions = {readonly seed: number; readonly duration: number; readonly json?: string};
 
-const kinds = ['foreign-response', 'not-run-ran', 'ran-twice', 'invariant-violated', 'internal-error'] as const;
+const kinds = ['foreign-response', 'not-run-ran', 'ran-twice', 'invariant-violated', 'internal-error', 'revision-reverted'] as const;
 const shownFindings = 20;
 
 /**
--- a/packages/bench/src/scenarios/find-inconsistencies.ts
+++ b/packages/bench/src/scenarios/find-inconsistencies.ts
@@ -6,7 +6,7 @@
 /** A disagreement between what callers were told and what the stand-ins' logs show. */
 export type Inconsistency = {
 	/** Invariant of section 1.2 of docs/design.md that does not hold. */
-	readonly kind: 'foreign-response' | 'not-run-ran' | 'ran-twice' | 'invariant-violated' | 'internal-error';
+	readonly kind: 'foreign-response' | 'not-run-ran' | 'ran-twice' | 'invariant-violated' | 'internal-error' | 'revision-reverted';
 	readonly reason: string;
 };
 
@@ -48,6 +48,7 @@
 			{kind: 'not-run-ran' as const, reason: `${plan.method} ${plan.target} was refused with code ${code} and ran`}
 		)),
 		...findRepeated(started, sent),
+		...findReverted(logs),
 		...logs.filter(({code}) => code === resultCodes['invariant-violated'].number).map(({host, detail}) => (
 			{kind: 'invariant-violated' as const, reason: `${String(host)}: ${String(detail)}`}
 		)),
@@ -75,3 +76,23 @@
 
 	return [...counts].filter(([, count]) => count > 1).map(([key, count]) => ({kind: 'ran-twice', reason: `key ${key} ran ${count} times`}));
 }
+
+/** The revisions that a run of a host puts in force never decrease; each run logs its start first. */
+function findReverted(logs: Evidence['logs']): Inconsistency[] {
+	const revisions = new Map<unknown, number>();
+	const reverted: Inconsistency[] = [];
+	for (const {event, host, revision} of logs) {
+		if (event !== 'configuration-applied' && event !== 'host-started') {
+			continue;
+		}
+
+		const former = event === 'host-started' ? 0 : revisions.get(host) ?? 0;
+		if (typeof revision === 'number' && revision < former) {
+			reverted.push({kind: 'revision-reverted', reason: `${String(host)} put revision ${revision} in force after ${former}`});
+		}
+
+		revisions.set(host, typeof revision === 'number' ? revision : former);
+	}
+
+	return reverted;
+}
--- a/packages/bench/src/scenarios/run-scenario.ts
+++ b/packages/bench/src/scenarios/run-scenario.ts
@@ -26,6 +26,7 @@
 		services: Object.entries(scenario.services).map(([name, service]) => ({
 			configuration: buildScenarioService(name, service), endpoints: service.endpoints,
 		})),
+		configuration: {measuring: scenario.measuring},
 		hasPlatform: scenario.platform,
 		listLagMilliseconds: scenario.listLag,
 		settings: {shutdown: {lameDuckMilliseconds: scenario.lameDuck, shutdownMilliseconds: 10_000}},
--- a/packages/bench/src/scenarios/scenario-schema.ts
+++ b/packages/bench/src/scenarios/scenario-schema.ts
@@ -31,6 +31,8 @@
 	lameDuck: z.int().min(0).default(100),
 	/** Longest duration of the whole run. */
 	timeout: z.int().positive().default(20_000),
+	/** Budget for measuring of each service. */
+	measuring: z.strictObject({probesPerSecond: z.number().min(0), bytesPerSecond: z.number().min(0)}).default({probesPerSecond: 10, bytesPerSecond: 10_000}),
 	services: z.record(z.string(), serviceSchema),
 });
 
--- a/packages/bench/src/scenarios/scenario-world.ts
+++ b/packages/bench/src/scenarios/scenario-world.ts
@@ -11,6 +11,9 @@
 	/** Times of `mark` steps in milliseconds since the epoch. */
 	readonly marks = new Map<string, number>();
 
+	/** Ends of `apply` steps. */
+	readonly applied = new Map<string, {readonly exitCode: number; readonly output: string}>();
+
 	constructor(readonly scenario: ScenarioHead, readonly fleet: Fleet) {}
 
 	/**
--- a/packages/bench/src/scenarios/steps/conditions.ts
+++ b/packages/bench/src/scenarios/steps/conditions.ts
@@ -1,5 +1,6 @@
 import {request} from 'undici';
 import {z} from 'zod';
+import {defaultServiceConfiguration} from '@tanagerrail/configuration';
 import {collectEvidence, findInconsistencies} from '../find-inconsistencies.js';
 import type {ScenarioWorld} from '../scenario-world.js';
 import {describeUnmet, rangeFields} from './describe-unmet.js';
@@ -21,10 +22,19 @@
 	ready: z.strictObject({entry: z.string(), is: z.boolean()}),
 	/** Whether the process of an entry runs, and its exit code after a stop. */
 	running: z.strictObject({entry: z.string(), is: z.boolean(), exitCode: z.int().optional()}),
+	/** End of an `apply` step; several names count together. */
+	applied: z.strictObject({
+		of: z.array(z.string()), exitCode: z.int().optional(), contains: z.string().optional(), ...rangeFields,
+	}),
+	/** Load reports fetched from endpoints since the start, by all entries together. */
+	probes: z.strictObject({...rangeFields}),
 	/** What callers were told agrees with the logs of the stand-ins, and no invariant of an entry is violated. */
 	consistent: z.literal(true),
 } as const;
 
+/** Path of the endpoints' load report, which is no work. */
+const {loadPath} = defaultServiceConfiguration;
+
 type ConditionName = keyof typeof conditionSchemas;
 type ConditionInput<N extends ConditionName> = z.output<typeof conditionSchemas[N]>;
 type Check<N extends ConditionName> = (input: ConditionInput<N>, world: ScenarioWorld) => string | undefined | Promise<string | undefined>;
@@ -37,6 +47,8 @@
 	log: createListSchema(conditionSchemas.log),
 	ready: createListSchema(conditionSchemas.ready),
 	running: createListSchema(conditionSchemas.running),
+	applied: createListSchema(conditionSchemas.applied),
+	probes: createListSchema(conditionSchemas.probes),
 	consistent: createListSchema(conditionSchemas.consistent),
 });
 
@@ -57,7 +69,7 @@
 		const targets = of === undefined ? undefined : new Set(world.listSent(of).map(({plan}) => plan.target));
 		const start = since === undefined ? 0 : world.marks.get(since) ?? Infinity;
 		const endpoints = endpoint === undefined ? [...world.fleet.endpoints.values()] : [getEndpoint(world.fleet, endpoint)];
-		const runs = endpoints.flatMap(({runs: all}) => all.filter(run => run.startedAt !== undefined
+		const runs = endpoints.flatMap(({runs: all}) => all.filter(run => run.startedAt !== undefined && run.target !== loadPath
 			&& run.startedAt >= start
 			&& (key === undefined || run.key === key)
 			&& (targets === undefined || targets.has(run.target))));
@@ -83,6 +95,17 @@
 
 		return exitCode === undefined || child.exitCode === exitCode ? undefined : `exit code of ${entry}: found ${child.exitCode}, expected ${exitCode}`;
 	},
+	applied({of, exitCode, contains, ...range}, {applied}) {
+		const matching = of.filter(name => {
+			const end = applied.get(name);
+			return end && (exitCode === undefined || end.exitCode === exitCode) && (contains === undefined || end.output.includes(contains));
+		});
+		return describeUnmet('applied changes', matching.length, range, () => ` (${of.map(name => JSON.stringify(applied.get(name))).join(', ')})`);
+	},
+	probes(range, {fleet}) {
+		const probes = [...fleet.endpoints.values()].flatMap(({runs}) => runs.filter(({target}) => target === loadPath));
+		return describeUnmet('probes', probes.length, range);
+	},
 	consistent(_, {fleet, caller}) {
 		const [first, ...others] = findInconsistencies(collectEvidence(fleet, caller.sent));
 		return first && `${first.kind}: ${first.reason}${others.length > 0 ? ` (and ${others.length} more)` : ''}`;
--- a/packages/claims/src/background-writes.ts
+++ b/packages/claims/src/background-writes.ts
@@ -1,3 +1,4 @@
+import {setMaxListeners} from 'node:events';
 import type {Wait} from './wait.js';
 
 /** Options of {@link BackgroundWrites}. */
@@ -27,6 +28,8 @@
 
 	constructor(options: BackgroundWritesOptions) {
 		this.#options = options;
+		// Each unsettled write waits on this signal; there may be many during an outage, which is no leak.
+		setMaxListeners(0, this.#stop.signal);
 	}
 
 	/** Writes that failed at least once and are not settled. */
