--- a/packages/cli/src/commands/answers-init.ts
+++ b/packages/cli/src/commands/answers-init.ts
@@ -43,15 +43,37 @@
 		return {lines: [], data: {file}, failure: createFailure('usage-invalid', {reason: `${file} exists already; --force replaces it`})};
 	}
 
-	fs.writeFileSync(file, renderAnswers(process.stdin.isTTY ? await askInTerminal() : defaultAnswers));
+	try {
+		fs.writeFileSync(file, renderAnswers(process.stdin.isTTY ? await askInTerminal() : defaultAnswers));
+	} catch (error) {
+		if (!(error instanceof InputEndError)) {
+			throw error;
+		}
+
+		return {lines: [], data: {file}, failure: createFailure('usage-invalid', {reason: 'the input ended before all questions were answered'})};
+	}
+
 	const checked = checkAnswers(file);
 	return {...checked, lines: [`${file} is written.`, ...checked.lines]};
 }
 
+/** The input ended before all questions were answered. */
+class InputEndError extends Error {}
+
 async function askInTerminal(): Promise<DraftAnswers> {
 	const terminal = createInterface({input: process.stdin, output: process.stderr});
 	try {
-		return await askAnswers(async question => terminal.question(question));
+		// Lines are queued, because a line typed ahead of its question would otherwise be lost.
+		const lines = terminal[Symbol.asyncIterator]();
+		return await askAnswers(async question => {
+			process.stderr.write(question);
+			const line = await lines.next();
+			if (line.done) {
+				throw new InputEndError();
+			}
+
+			return line.value;
+		});
 	} finally {
 		terminal.close();
 	}
--- a/packages/peers/src/peer-control-clients.ts
+++ b/packages/peers/src/peer-control-clients.ts
@@ -12,6 +12,8 @@
 export type PeerControlClientsOptions = {
 	readonly directory: HostDirectory;
 	readonly key: string;
+	/** Returns the certificate authorities of peers as PEM; calls use TLS when it is given. */
+	readonly getAuthority?: () => string | undefined;
 	/** Time allowed for one call, in milliseconds. */
 	readonly timeoutMilliseconds: number;
 };
@@ -71,7 +73,7 @@
 	}
 
 	#getClient(hostId: string): PeerClient['client'] | undefined {
-		const {directory, key} = this.#options;
+		const {directory, key, getAuthority} = this.#options;
 		const address = directory.find(hostId)?.peerAddress;
 		if (address === undefined) {
 			return undefined;
@@ -82,7 +84,11 @@
 			return known.client;
 		}
 
-		const client = createTRPCClient<PeerControlRouter>({links: [createControlLink({address, path: peerControlPath, key})]});
+		const client = createTRPCClient<PeerControlRouter>({
+			links: [createControlLink({
+				address, path: peerControlPath, key, getAuthority,
+			})],
+		});
 		this.#clients.set(hostId, {address, client});
 		return client;
 	}
