--- a/packages/bench/tests/scenarios/scenario-files.test.ts
+++ b/packages/bench/tests/scenarios/scenario-files.test.ts
@@ -9,11 +9,13 @@
 
 	const proved = new Set(names.flatMap(name => readScenario(name).proves));
 	const subjects = [
+		'promise-1',
 		'promise-2',
 		'promise-3',
 		'promise-4',
 		'promise-5',
 		'promise-6',
+		'promise-7',
 		'endpoint-slow',
 		'endpoint-drains-without-warning',
 		'endpoint-fails-fast',
--- a/packages/bench/tests/scenarios/without-mechanism.test.ts
+++ b/packages/bench/tests/scenarios/without-mechanism.test.ts
@@ -7,6 +7,8 @@
 
 // Each row guards against a scenario that would pass although the mechanism it is about does nothing.
 const rows = [
+	{variant: 'without-measuring-budget', scenario: 'measuring-budget', reason: /measuring-budget does not hold|probes: found \d+/v},
+	{variant: 'without-revision-conditions', scenario: 'answers-conflict', reason: /applied changes: found 2, expected exactly 1/v},
 	{variant: 'without-complete-responses', scenario: 'response-cut', reason: /responses: found 3, expected exactly 0/v},
 	{variant: 'without-unknown-outcome', scenario: 'payment-endpoint-crashes', reason: /responses: found 0, expected exactly 1|not-run-ran/v},
 	{variant: 'without-claim-conditions', scenario: 'claim-runs-once', reason: /runs: found \d+, expected exactly 5/v},
