--- a/packages/cli/src/entry-host.ts
+++ b/packages/cli/src/entry-host.ts
@@ -5,7 +5,7 @@
 import process from 'node:process';
 import type {Configuration} from '@tanagerrail/configuration';
 import {
-	CallerListener, createListenerServer, EndpointConnections, TlsFiles, type RequestContext,
+	AttemptPolicies, CallerListener, createListenerServer, EndpointConnections, TlsFiles, type RequestContext,
 } from '@tanagerrail/http';
 import {HostDirectory, PauseDetector} from '@tanagerrail/membership';
 import {
@@ -14,7 +14,6 @@
 import {
 	createDynamoTable, createHttpHostList, createS3Objects, type ObjectStore, type TableService,
 } from '@tanagerrail/platform';
-import {RetryBudget} from '@tanagerrail/routing';
 import {
 	createLogger, createMetrics, listViolations, LogLevel, readMonotonicClock, setCommonLogFields, setLogFilter,
 } from '@tanagerrail/telemetry';
@@ -51,7 +50,7 @@
 	readonly #peerServer: Server;
 	readonly #adminServer: Server;
 	readonly #pauseDetector: PauseDetector;
-	readonly #retryBudgets = new Map<string, RetryBudget>();
+	readonly #policies = new AttemptPolicies({getConfiguration: () => this.#control.keeper.latest});
 	readonly #table: TableService | undefined;
 	readonly #control: ControlPlane;
 	#isStopping = false;
@@ -74,22 +73,30 @@
 		this.#levels = new HostLevels({
 			hostId: host.id, incarnation: this.#incarnation, getConfiguration: () => this.#control.keeper.latest, directory: this.#directory, objects: this.#objects,
 		});
-		this.#claims = createHostClaims({
-			settings, incarnation: this.#incarnation, directory: this.#directory, getConfiguration: () => this.#control.keeper.latest,
-		});
 		this.#registry = new AllocatorRegistry({
-			hostId: host.id, directory: this.#directory, clock, getConfiguration: () => this.#control.keeper.latest,
+			hostId: host.id,
+			directory: this.#directory,
+			clock,
+			getConfiguration: () => this.#control.keeper.latest,
+			onCost: (service, cost) => {
+				this.#levels.recorder.recordCost(service, cost);
+				this.#metrics.recordCost(service, cost);
+			},
 		});
 		this.#table = platform.table && createDynamoTable({url: platform.table.url, table: platform.table.name, ...(platform.credentials && {credentials: platform.credentials})});
 		this.#control = new ControlPlane({
 			settings, directory: this.#directory, clock, table: this.#table, initial: configuration,
-			onApplied: applied => {
-				this.#handleApplied(applied);
+			onApplied: () => {
+				this.#registry.updateConfiguration();
 			},
 			describeHost: () => this.#describe(),
 			levels: this.#levels,
 			getAuthority,
 		});
+		// The write budget of claims reads the configuration at once, so the control plane comes first.
+		this.#claims = createHostClaims({
+			settings, incarnation: this.#incarnation, directory: this.#directory, getConfiguration: () => this.#control.keeper.latest,
+		});
 		this.#pauseDetector = new PauseDetector({
 			clock,
 			onPause: milliseconds => {
@@ -161,6 +168,8 @@
 		this.#isStopping = true;
 		logger.log(LogLevel.info, 'host-stopping');
 		this.#slotServer.announceGoodbye();
+		// This host's own requests go to the next allocator as well, so that both do not hand out the same slots.
+		this.#directory.recordGoodbye(this.#settings.host.id);
 		this.#listener.drain();
 		await waitMilliseconds(lameDuckMilliseconds);
 		this.#listener.stop();
@@ -205,25 +214,14 @@
 			claims: this.#claims.service,
 			metrics,
 			getConfiguration: () => this.#control.keeper.configuration,
-			getRetryBudget: service => this.#getRetryBudget(service),
+			getRetryBudget: service => this.#policies.getRetryBudget(service),
+			getHedgePolicy: match => this.#policies.getHedgePolicy(match),
 			record: record => {
 				this.#levels.record(record);
 			},
 		};
 	}
 
-	#getRetryBudget(service: string): RetryBudget {
-		const known = this.#retryBudgets.get(service);
-		if (known) {
-			return known;
-		}
-
-		const ratio = this.#control.keeper.latest?.services.find(({name}) => name === service)?.retryBudget;
-		const budget = new RetryBudget(ratio === undefined ? {} : {ratio});
-		this.#retryBudgets.set(service, budget);
-		return budget;
-	}
-
 	#handlePause(milliseconds: number): void {
 		logger.log(LogLevel.warn, 'host-paused', {milliseconds: Math.round(milliseconds)});
 		this.#router.reset();
@@ -232,17 +230,6 @@
 		void this.#control.keeper.refresh();
 	}
 
-	#handleApplied(configuration: Configuration): void {
-		this.#registry.updateConfiguration(configuration);
-		for (const [service, budget] of this.#retryBudgets) {
-			const ratio = configuration.services.find(({name}) => name === service)?.retryBudget;
-			// A budget whose ratio stays keeps its tokens, so that a change of other fields does not allow more retries.
-			if (ratio !== budget.ratio) {
-				this.#retryBudgets.delete(service);
-			}
-		}
-	}
-
 	#describe(): HostStatus {
 		const {id, failureDomain} = this.#settings.host;
 		return {
