--- a/packages/cli/src/entry-host.ts
+++ b/packages/cli/src/entry-host.ts
@@ -73,16 +73,6 @@
 		this.#levels = new HostLevels({
 			hostId: host.id, incarnation: this.#incarnation, getConfiguration: () => this.#control.keeper.latest, directory: this.#directory, objects: this.#objects,
 		});
-		this.#registry = new AllocatorRegistry({
-			hostId: host.id,
-			directory: this.#directory,
-			clock,
-			getConfiguration: () => this.#control.keeper.latest,
-			onCost: (service, cost) => {
-				this.#levels.recorder.recordCost(service, cost);
-				this.#metrics.recordCost(service, cost);
-			},
-		});
 		this.#table = platform.table && createDynamoTable({url: platform.table.url, table: platform.table.name, ...(platform.credentials && {credentials: platform.credentials})});
 		this.#control = new ControlPlane({
 			settings, directory: this.#directory, clock, table: this.#table, initial: configuration,
@@ -97,6 +87,16 @@
 		this.#claims = createHostClaims({
 			settings, incarnation: this.#incarnation, directory: this.#directory, getConfiguration: () => this.#control.keeper.latest,
 		});
+		this.#registry = new AllocatorRegistry({
+			hostId: host.id,
+			directory: this.#directory,
+			clock,
+			getConfiguration: () => this.#control.keeper.latest,
+			onCost: (service, cost) => {
+				this.#levels.recorder.recordCost(service, cost);
+				this.#metrics.recordCost(service, cost);
+			},
+		});
 		this.#pauseDetector = new PauseDetector({
 			clock,
 			onPause: milliseconds => {
--- a/packages/cli/tests/tls.test.ts
+++ b/packages/cli/tests/tls.test.ts
@@ -125,7 +125,7 @@
 
 	const control = (trusted?: string) => createTRPCClient<PeerControlRouter>({
 		links: [createControlLink({
-			address: `127.0.0.1:${ports.peers}`, path: peerControlPath, key: keys[1]!, authority: trusted,
+			address: `127.0.0.1:${ports.peers}`, path: peerControlPath, key: keys[1]!, getAuthority: trusted === undefined ? undefined : () => trusted,
 		})],
 	});
 	const status = await control(authority).getStatus.query();
--- a/packages/peers/src/peer-control-clients.ts
+++ b/packages/peers/src/peer-control-clients.ts
@@ -21,7 +21,7 @@
 /** Defaults of {@link PeerControlClientsOptions}; an accepted change has to be in force within 3 s. */
 export const defaultPeerControlClientsOptions = {timeoutMilliseconds: 500};
 
-type PeerClient = {readonly address: string; readonly authority: string | undefined; readonly client: TRPCClient<PeerControlRouter>};
+type PeerClient = {readonly address: string; readonly client: TRPCClient<PeerControlRouter>};
 
 /** Control calls to peers. Failures: `peer-unreachable` and `peer-unauthorized`. */
 export class PeerControlClients {
@@ -74,23 +74,22 @@
 
 	#getClient(hostId: string): PeerClient['client'] | undefined {
 		const {directory, key, getAuthority} = this.#options;
-		const authority = getAuthority?.();
 		const address = directory.find(hostId)?.peerAddress;
 		if (address === undefined) {
 			return undefined;
 		}
 
 		const known = this.#clients.get(hostId);
-		if (known?.address === address && known.authority === authority) {
+		if (known?.address === address) {
 			return known.client;
 		}
 
 		const client = createTRPCClient<PeerControlRouter>({
 			links: [createControlLink({
-				address, path: peerControlPath, key, authority,
+				address, path: peerControlPath, key, getAuthority,
 			})],
 		});
-		this.#clients.set(hostId, {address, authority, client});
+		this.#clients.set(hostId, {address, client});
 		return client;
 	}
 }
