feat(configuration): refuse work that a planned stop would cut off

Cause: the settings check compares shutdownMilliseconds with the initial configuration only; an applied change could declare longer work, which a graceful shutdown would then cut off.

Ruled out: a check in the keeper, because a host must not refuse an accepted revision.

Change: plan and apply refuse a longest duration above the accepting host's shutdownMilliseconds, with the line of the field. Control calls between peers have a test over TLS.

--- a/packages/cli/src/control-plane.ts
+++ b/packages/cli/src/control-plane.ts
@@ -38,7 +38,7 @@
 
 	constructor(options: Omit<ControlPlaneOptions, 'random'> & Partial<ControlPlaneOptions>) {
 		this.#options = {random: Math.random, ...options};
-		const {settings: {host, keys}, directory, clock, table, initial, onApplied, describeHost, getPeerAuthority} = options;
+		const {settings: {host, keys, shutdown}, directory, clock, table, initial, onApplied, describeHost, getPeerAuthority} = options;
 		const store = table && new RevisionStore({table});
 		this.#clients = new PeerControlClients({directory, key: keys.peers[0]!, getAuthority: getPeerAuthority});
 		this.keeper = new ConfigurationKeeper({
@@ -55,9 +55,10 @@
 		this.#handlePeer = createControlHandler({
 			router: createPeerControlRouter({keeper: this.keeper, describeHost}), path: peerControlPath, keys: keys.peers,
 		});
+		const manager = store && new AnswersManager({store, limits: {shutdownMilliseconds: shutdown.shutdownMilliseconds}});
 		this.#handleOperator = createControlHandler({
 			router: createOperatorRouter({
-				answers: store && {manager: new AnswersManager({store}), store}, keeper: this.keeper, announcer, collectStatus: async () => this.#collectStatus(),
+				answers: store && manager && {manager, store}, keeper: this.keeper, announcer, collectStatus: async () => this.#collectStatus(),
 			}),
 			path: operatorControlPath,
 			keys: keys.admin,
--- a/packages/cli/tests/tls.test.ts
+++ b/packages/cli/tests/tls.test.ts
@@ -6,7 +6,8 @@
 import {test} from 'tap';
 import {Agent, request} from 'undici';
 import {createListenerServer, TlsFiles} from '@tanagerrail/http';
-import {LinkState, SlotLink} from '@tanagerrail/peers';
+import type {HostDirectory} from '@tanagerrail/membership';
+import {LinkState, PeerControlClients, SlotLink} from '@tanagerrail/peers';
 import {StandInHostList} from '@tanagerrail/stand-ins';
 import {readMonotonicClock} from '@tanagerrail/telemetry';
 import {EntryHost} from '../src/entry-host.js';
@@ -119,4 +120,16 @@
 	t.equal(await openLink('another-key-0123456789', () => authority), false);
 	t.equal(await openLink(keys[0]!), false, 'a peer without TLS is refused');
 	t.same(links.map(({state}) => state === LinkState.open), [true, true, false, false]);
+
+	const directory = {find: () => ({peerAddress: `127.0.0.1:${ports.peers}`})} as unknown as HostDirectory;
+	const callControl = async (key: string, getAuthority?: () => string) => {
+		const called = await new PeerControlClients({
+			directory, key, getAuthority, timeoutMilliseconds: 2000,
+		}).fetchStatus('a');
+		return called.match(({hostId}) => hostId, ({id}) => id);
+	};
+
+	t.equal(await callControl(keys[1]!, () => authority), 'a', 'a control call over TLS');
+	t.equal(await callControl('another-key-0123456789', () => authority), 'peer-unauthorized');
+	t.equal(await callControl(keys[0]!), 'peer-unreachable', 'a control call without TLS');
 });
--- a/packages/configuration/src/answer-problem.ts
+++ b/packages/configuration/src/answer-problem.ts
@@ -30,6 +30,7 @@
 	'share-is-zero': 'Raise longWorkShare; as it is, long work never gets a slot.',
 	'connections-above-limit': 'Lower connectionsPerHost or slots, or raise connections; {hosts} hosts open up to {perHost} connections each.',
 	'connections-below-slots': 'Raise connectionsPerHost; each slot in use needs a connection.',
+	'longest-above-shutdown': 'Lower the longest duration, or raise shutdownMilliseconds in the settings of all hosts; as it is, a planned stop would cut off this work.',
 	'hosts-reversed': 'Exchange the two numbers.',
 	'hosts-below-domains': 'Add entry hosts, so that each failure domain has one.',
 	'request-repeated': 'Remove one of the two requests.',
--- a/packages/configuration/src/answers-manager.ts
+++ b/packages/configuration/src/answers-manager.ts
@@ -6,6 +6,7 @@
 import type {AnswerProblem} from './answer-problem.js';
 import type {Answers} from './answers.js';
 import {extendRule, type ApprovalRule} from './approval-rule.js';
+import type {HostLimits} from './find-contradictions.js';
 import {parseAnswers} from './parse-answers.js';
 import {planChange, type Plan} from './plan-change.js';
 import type {RevisionRecord} from './revision-record.js';
@@ -48,6 +49,8 @@
 /** Options of {@link AnswersManager}. */
 export type AnswersManagerOptions = {
 	readonly store: RevisionStore;
+	/** What the hosts allow; answers beyond it are refused. */
+	readonly limits?: HostLimits;
 	/** Wall clock for the history, in milliseconds since the epoch. */
 	readonly now: () => number;
 };
@@ -56,10 +59,12 @@
 export class AnswersManager {
 	readonly #store: RevisionStore;
 	readonly #now: () => number;
+	readonly #limits: HostLimits | undefined;
 
-	constructor({store, now = Date.now}: Partial<AnswersManagerOptions> & Pick<AnswersManagerOptions, 'store'>) {
+	constructor({store, limits, now = Date.now}: Partial<AnswersManagerOptions> & Pick<AnswersManagerOptions, 'store'>) {
 		this.#store = store;
 		this.#now = now;
+		this.#limits = limits;
 	}
 
 	/**
@@ -160,15 +165,15 @@
 	}
 
 	#prepare(text: string): ResultAsync<{plan: BasedPlan; rules: ApprovalRule[]; current: RevisionRecord | undefined}, Refusal> {
-		return parseForApply(text).asyncAndThen(next => this.#store.readCurrent().mapErr(toRefusal)
+		return parseForApply(text, this.#limits).asyncAndThen(next => this.#store.readCurrent().mapErr(toRefusal)
 			.andThen(current => readCurrentAnswers(current)
 				.asyncAndThen(before => this.#store.listApprovals().mapErr(toRefusal)
 					.map(rules => ({plan: {...planChange(before, next, rules), base: current?.revision ?? 0}, rules, current})))));
 	}
 }
 
-function parseForApply(text: string): Result<Answers, Refusal> {
-	return parseAnswers(text).mapErr(problems => ({
+function parseForApply(text: string, limits: HostLimits | undefined): Result<Answers, Refusal> {
+	return parseAnswers(text, limits).mapErr(problems => ({
 		failure: createFailure('answers-invalid', {reason: `${problems.length} ${problems.length === 1 ? 'problem' : 'problems'}`}), problems,
 	}));
 }
--- a/packages/configuration/src/find-contradictions.ts
+++ b/packages/configuration/src/find-contradictions.ts
@@ -1,3 +1,4 @@
+import type {FieldPath} from './answer-document.js';
 import type {Answers, ServiceAnswers} from './answers.js';
 import {ChangeKind} from './change-kind.js';
 import {findRepeated, type Contradiction} from './contradiction.js';
@@ -7,6 +8,12 @@
 /** Answers of which some parts may be invalid and left out. */
 export type ValidParts = Partial<Omit<Answers, 'services'>> & {readonly services: ReadonlyArray<ServiceAnswers | undefined>};
 
+/** What the hosts allow. */
+export type HostLimits = {
+	/** Time that a planned stop of a host may take, in milliseconds. */
+	readonly shutdownMilliseconds: number;
+};
+
 /** Smallest size of a probe and its response on the wire, with headers. */
 const probeBytes = 200;
 
@@ -32,9 +39,10 @@
  * Finds contradictions between answers.
  *
  * @param answers - The answers; invalid parts are left out.
+ * @param limits - What the hosts allow, if it is known.
  * @returns All contradictions.
  */
-export function findContradictions(answers: ValidParts): Contradiction[] {
+export function findContradictions(answers: ValidParts, limits?: HostLimits): Contradiction[] {
 	const services = answers.services.flatMap((service, index) => service ? [{service, index}] : []);
 	return [
 		...findTopologyContradictions(answers),
@@ -43,9 +51,16 @@
 		...findRepeated(services.map(({service, index}) => ({name: service.name, path: ['services', index, 'name']})), 'name-repeated'),
 		...services.flatMap(({service, index}) => findServiceContradictions(service, ['services', index], answers.topology?.entryHosts.most)),
 		...findRequestContradictions(services),
+		...(limits ? services.flatMap(({service, index}) => findLimitContradictions(service, ['services', index], limits)) : []),
 	];
 }
 
+function findLimitContradictions({classes}: ServiceAnswers, base: FieldPath, {shutdownMilliseconds}: HostLimits): Contradiction[] {
+	return classes.flatMap(({longestMilliseconds}, index): Contradiction[] => longestMilliseconds > shutdownMilliseconds
+		? [{rule: 'longest-above-shutdown', path: [...base, 'classes', index, 'longestMilliseconds'], expected: `at most ${shutdownMilliseconds}`}]
+		: []);
+}
+
 function findTopologyContradictions({topology}: ValidParts): Contradiction[] {
 	if (!topology) {
 		return [];
--- a/packages/configuration/src/parse-answers.ts
+++ b/packages/configuration/src/parse-answers.ts
@@ -7,7 +7,7 @@
 } from './answers.js';
 import type {Contradiction} from './contradiction.js';
 import {findNearestName} from './find-nearest-name.js';
-import {findContradictions} from './find-contradictions.js';
+import {findContradictions, type HostLimits} from './find-contradictions.js';
 
 type Issue = z.core.$ZodIssue;
 type Described = {readonly rule: AnswerRule; readonly path: FieldPath; readonly expected: string; readonly nearest?: string};
@@ -17,9 +17,10 @@
  * every service whose fields are valid.
  *
  * @param text - The file's content (YAML).
+ * @param limits - What the hosts allow, if it is known.
  * @returns The answers with defaults filled in, or every problem in the order of lines.
  */
-export function parseAnswers(text: string): Result<Answers, AnswerProblem[]> {
+export function parseAnswers(text: string, limits?: HostLimits): Result<Answers, AnswerProblem[]> {
 	const document = new AnswerDocument(text);
 	const syntaxProblems = document.listSyntaxProblems();
 	if (syntaxProblems.length > 0) {
@@ -29,7 +30,7 @@
 	const {content} = document;
 	const parsed = answersSchema.safeParse(content);
 	const issues = parsed.success ? [] : parsed.error.issues.flatMap(issue => describeIssue(issue, content));
-	const contradictions = findContradictions(parsed.data ?? readValidParts(content));
+	const contradictions = findContradictions(parsed.data ?? readValidParts(content), limits);
 	const problems = [
 		...issues.map(issue => createIssueProblem(issue, document)),
 		...contradictions.map(contradiction => createContradictionProblem(contradiction, document)),
--- a/packages/configuration/tests/parse-answers.test.ts
+++ b/packages/configuration/tests/parse-answers.test.ts
@@ -16,6 +16,11 @@
 	}
 });
 
+test('work that a planned stop would cut off is refused when the bound of the hosts is known', async t => {
+	const problems = parseAnswers(readExample('vihmavesi'), {shutdownMilliseconds: 30_000})._unsafeUnwrapErr();
+	t.strictSame(problems.map(({rule, field}) => [rule, field]), [['longest-above-shutdown', 'services[2].classes[1].longestMilliseconds']]);
+});
+
 test('a contradiction in one service is found although another service is malformed', async t => {
 	const text = formatEdited(formatEdited(readExample('vihmavesi'), 'longWorkShare: 0.2', 'longWorkShare: 20'), 'longWorkShare: 0.5', 'longWorkShare: 0.99');
 	t.strictSame(parseAnswers(text)._unsafeUnwrapErr().map(({rule}) => rule), ['range', 'share-leaves-no-room']);
