--- a/packages/cli/src/control-plane.ts
+++ b/packages/cli/src/control-plane.ts
@@ -5,7 +5,7 @@
 import type {HostDirectory} from '@tanagerrail/membership';
 import {
 	createControlHandler, createOperatorRouter, createPeerControlRouter, operatorControlPath, PeerControlClients, peerControlPath, RevisionAnnouncer,
-	type ControlHandler, type HostStatus, type ReportedStatus,
+	type ControlHandler, type HostStatus, type LevelCalls, type ReportedStatus,
 } from '@tanagerrail/peers';
 import type {TableService} from '@tanagerrail/platform';
 import type {Clock} from '@tanagerrail/telemetry';
@@ -26,6 +26,9 @@
 	/** Called after each change of the configuration in force. */
 	readonly onApplied: () => void;
 	readonly describeHost: () => HostStatus;
+	readonly levels: LevelCalls;
+	/** Returns the certificate authorities of peers as PEM; calls to peers use TLS when it is given. */
+	readonly getAuthority?: () => string | undefined;
 };
 
 /** The configuration of one host and the control calls of its peers and operators. */
@@ -38,9 +41,9 @@
 
 	constructor(options: Omit<ControlPlaneOptions, 'random'> & Partial<ControlPlaneOptions>) {
 		this.#options = {random: Math.random, ...options};
-		const {settings: {host, keys, shutdown}, directory, clock, table, initial, onApplied, describeHost, getPeerAuthority} = options;
+		const {settings: {host, keys, shutdown}, directory, clock, table, initial, onApplied, describeHost, levels, getAuthority} = options;
 		const store = table && new RevisionStore({table});
-		this.#clients = new PeerControlClients({directory, key: keys.peers[0]!, getAuthority: getPeerAuthority});
+		this.#clients = new PeerControlClients({directory, key: keys.peers[0]!, getAuthority});
 		this.keeper = new ConfigurationKeeper({
 			clock,
 			readCurrent: store && (() => store.readCurrent()),
@@ -58,7 +61,7 @@
 		const manager = store && new AnswersManager({store, limits: {shutdownMilliseconds: shutdown.shutdownMilliseconds}});
 		this.#handleOperator = createControlHandler({
 			router: createOperatorRouter({
-				answers: store && manager && {manager, store}, keeper: this.keeper, announcer, collectStatus: async () => this.#collectStatus(),
+				answers: store && manager && {manager, store}, keeper: this.keeper, announcer, collectStatus: async () => this.#collectStatus(), levels,
 			}),
 			path: operatorControlPath,
 			keys: keys.admin,
--- a/packages/configuration/src/configuration-keeper.ts
+++ b/packages/configuration/src/configuration-keeper.ts
@@ -101,8 +101,17 @@
 		const number = this.#refreshes;
 		const {refreshMilliseconds, listPeers, peersAsked} = this.#options;
 		let timeout: NodeJS.Timeout | undefined;
+		const table = this.#readTable();
+		const peers = Promise.all(listPeers().slice(0, peersAsked).map(async hostId => this.#fetch(hostId)));
+		const askAll = async () => {
+			// The table's own record is the latest, so slow peers need not be waited for.
+			if (!(await table)) {
+				await peers;
+			}
+		};
+
 		await Promise.race([
-			Promise.all([this.#readTable(), ...listPeers().slice(0, peersAsked).map(async hostId => this.#fetch(hostId))]),
+			askAll(),
 			new Promise<void>(resolve => {
 				timeout = setTimeout(resolve, refreshMilliseconds);
 			}),
@@ -182,20 +191,23 @@
 		this.#schedule();
 	}
 
-	async #readTable(): Promise<void> {
+	/** Reads the table and tells whether it holds an accepted change. */
+	async #readTable(): Promise<boolean> {
 		const current = await this.#options.readCurrent?.();
 		if (!current) {
-			return;
+			return false;
 		}
 
 		if (current.isErr()) {
 			logger.logFailure(LogLevel.warn, 'configuration-unreadable', current.error);
-			return;
+			return false;
 		}
 
 		if (current.value && !this.#isStopped) {
 			this.adopt(current.value);
 		}
+
+		return current.value !== undefined;
 	}
 
 	async #fetch(hostId: string): Promise<void> {
