fix(http): do not call a request not run after an attempt that may have run it

Cause: when a read's first attempt was lost and no slot was granted for the second, the refusal of the slot went to the caller as not-run, which breaks the promise that a request refused as not-run did not run.

Ruled out: work that is not idempotent; it already answers outcome-unknown in this case.

Change: the outcome of a failure is unknown once an attempt may have run.

--- a/packages/http/src/caller-listener.ts
+++ b/packages/http/src/caller-listener.ts
@@ -7,7 +7,7 @@
 	buildProblemDetails, createFailure, getOutcome, problemMediaType, resultCodes, type Failure,
 } from '@tanagerrail/results';
 import {createLogger, LogLevel} from '@tanagerrail/telemetry';
-import type {CallerRequest} from './caller-request.js';
+import {hashRequest, type CallerRequest} from './caller-request.js';
 import {checkHead} from './check-head.js';
 import {createListenerServer} from './create-listener-server.js';
 import {readBody} from './read-body.js';
@@ -183,6 +183,10 @@
 		return ok({
 			id, method, target, headers: req.headers, body: body.value, match, arrivedAt,
 			deadline: arrivedAt + allowed, callerAddress: req.socket.remoteAddress ?? 'unknown', signal: controller.signal,
+			fingerprint: hashRequest({
+				method, target, body: body.value, match,
+			}),
+			wait: {milliseconds: 0},
 		});
 	}
 
@@ -207,7 +211,7 @@
 			milliseconds,
 			status,
 			code: served.isErr() ? resultCodes[served.error.id].number : undefined,
-			waitMilliseconds: 0,
+			waitMilliseconds: request.wait.milliseconds,
 		});
 	}
 
--- a/packages/http/src/caller-request.ts
+++ b/packages/http/src/caller-request.ts
@@ -11,10 +11,14 @@
 	readonly headers: IncomingHttpHeaders;
 	readonly body: Uint8Array | undefined;
 	readonly match: RouteMatch;
+	/** Hash by which the same request is recognised on every host. */
+	readonly fingerprint: string;
 	/** Monotonic time of arrival and of the deadline, in milliseconds. */
 	readonly arrivedAt: number;
 	readonly deadline: number;
 	readonly callerAddress: string;
+	/** Time spent waiting for slots so far, in milliseconds. */
+	readonly wait: {milliseconds: number};
 	/** Aborted when the caller is gone. */
 	readonly signal: AbortSignal;
 };
--- a/packages/http/src/open-response.ts
+++ b/packages/http/src/open-response.ts
@@ -1,8 +1,9 @@
 import {err, ok, type Result} from 'neverthrow';
-import {createFailure, type Failure} from '@tanagerrail/results';
-import {AttemptOutcome, type SlotGrant} from '@tanagerrail/routing';
+import {createFailure, Outcome, type Failure} from '@tanagerrail/results';
+import {AttemptOutcome, notRunOutcomes, type SlotGrant} from '@tanagerrail/routing';
 import {createLogger, LogLevel} from '@tanagerrail/telemetry';
-import {hashRequest, type CallerRequest} from './caller-request.js';
+import {acquireSlot} from './acquire-slot.js';
+import type {CallerRequest} from './caller-request.js';
 import type {EndpointResponse} from './endpoint-attempt.js';
 import type {HeaderFields} from './forwarded-headers.js';
 import type {RequestContext} from './request-context.js';
@@ -46,7 +47,7 @@
 	readonly #headers: HeaderFields;
 	readonly #excluded: string[];
 	readonly #running = new Set<RunningAttempt>();
-	readonly #fingerprint: string;
+	#mayHaveRun = false;
 	#wake: ((wake: Wake) => void) | undefined;
 	#pendingWakes: Wake[] = [];
 	readonly #timers = new Set<NodeJS.Timeout>();
@@ -56,7 +57,6 @@
 		this.#context = context;
 		this.#headers = headers;
 		this.#excluded = [...excluded];
-		this.#fingerprint = hashRequest(request);
 	}
 
 	/**
@@ -89,7 +89,8 @@
 			}
 
 			this.#cancelOthers();
-			return end.result;
+			// What the last attempt says about itself does not undo an earlier one that may have run.
+			return end.result.mapErr(failure => this.#mayHaveRun ? {...failure, outcome: Outcome.unknown} : failure);
 		}
 	}
 
@@ -137,7 +138,7 @@
 	}
 
 	async #runAttempt(signal: AbortSignal, isImmediate: boolean): Promise<AttemptEnd> {
-		const granted = await this.#acquire(signal, isImmediate);
+		const granted = await acquireSlot(this.#request, this.#context, {excluded: this.#excluded, isImmediate, signal});
 		if (granted.isErr()) {
 			return {endpointId: undefined, isRetryable: false, result: err(granted.error)};
 		}
@@ -149,39 +150,15 @@
 		const startedAt = this.#context.clock();
 		const sent = await sendGranted(this.#request, grant, this.#context, {signal, headers: this.#headers});
 		if (sent.isErr()) {
+			this.#mayHaveRun ||= !notRunOutcomes.has(sent.error.outcome);
 			return {endpointId, isRetryable: sent.error.outcome !== AttemptOutcome.cancelled, result: err(sent.error.failure)};
 		}
 
+		this.#mayHaveRun = true;
 		this.#context.getHedgePolicy?.(this.#request.match).record(this.#context.clock() - startedAt);
 		return {endpointId, isRetryable: sent.value.status >= firstServerError, result: ok({response: sent.value, endpointId})};
 	}
 
-	async #acquire(signal: AbortSignal, isImmediate: boolean): Promise<Result<SlotGrant, Failure>> {
-		const {clock, slots} = this.#context;
-		const {match: {service, workClass}, deadline} = this.#request;
-		for (;;) {
-			const remainingMilliseconds = deadline - clock();
-			if (remainingMilliseconds <= 0) {
-				return err(createFailure('deadline-exceeded'));
-			}
-
-			const slot = await slots.acquire({
-				service: service.name,
-				workClass: workClass.name,
-				kind: workClass.kind,
-				remainingMilliseconds,
-				fingerprint: this.#fingerprint,
-				excluded: [...this.#excluded],
-				isImmediate,
-			}, signal);
-			if (slot.isErr() || slot.value.isUsable()) {
-				return slot;
-			}
-
-			slot.value.release({outcome: AttemptOutcome.unused, milliseconds: 0, isDraining: false});
-		}
-	}
-
 	/** Sets the times at which a second attempt starts, unless the first one has a response by then. */
 	#scheduleSecond({address}: SlotGrant): void {
 		const policy = this.#context.getHedgePolicy?.(this.#request.match);
--- a/packages/http/src/serve-keyed.ts
+++ b/packages/http/src/serve-keyed.ts
@@ -5,8 +5,9 @@
 import {
 	createFailure, Outcome, type Failure,
 } from '@tanagerrail/results';
-import {AttemptOutcome, type SlotGrant} from '@tanagerrail/routing';
-import {hashRequest, type CallerRequest} from './caller-request.js';
+import {AttemptOutcome, notRunOutcomes, type SlotGrant} from '@tanagerrail/routing';
+import {acquireSlot} from './acquire-slot.js';
+import type {CallerRequest} from './caller-request.js';
 import type {EndpointResponse} from './endpoint-attempt.js';
 import {sendGranted} from './send-granted.js';
 import {stripHopByHop} from './forwarded-headers.js';
@@ -19,9 +20,6 @@
 /** Connections silent for longer may have been lost track of; work that must not repeat does not risk them. */
 const maximumSilenceMilliseconds = 2000;
 
-/** Outcomes of attempts that certainly did not run. */
-const notRunOutcomes: ReadonlySet<AttemptOutcome> = new Set([AttemptOutcome.refused, AttemptOutcome.unreachable, AttemptOutcome.unused]);
-
 /** Headers about the endpoint at the time of its response; a replay would tell them too late. */
 const passingHeaders: ReadonlySet<string> = new Set(['endpoint-load-metrics', 'endpoint-state']);
 
@@ -50,7 +48,7 @@
 	}
 
 	const claimed = await context.claims.claim({
-		service: service.name, key, fingerprint: hashRequest(request), outcomeDays: service.outcomeDays,
+		service: service.name, key, fingerprint: request.fingerprint, outcomeDays: service.outcomeDays,
 	}, remaining);
 	if (claimed.isErr()) {
 		return err(claimed.error);
@@ -87,17 +85,13 @@
 	const excluded: string[] = [];
 	budget.add();
 	for (;;) {
-		const slot = await acquireSlot(request, context, excluded);
+		const slot = await acquireSlot(request, context, {excluded});
 		if (slot.isErr()) {
 			// Nothing of this request has run, whatever became of an equal one before it.
 			return err({...slot.error, outcome: Outcome.notRun});
 		}
 
 		const grant = slot.value;
-		if (!grant.isUsable()) {
-			grant.release({outcome: AttemptOutcome.unused, milliseconds: 0, isDraining: false});
-			continue;
-		}
 
 		if (claim && !context.claims.recordDispatch(claim)) {
 			grant.release({outcome: AttemptOutcome.unused, milliseconds: 0, isDraining: false});
@@ -126,18 +120,6 @@
 	}
 }
 
-async function acquireSlot(request: CallerRequest, {slots, clock}: RequestContext, excluded: readonly string[]): Promise<Result<SlotGrant, Failure>> {
-	const {service, workClass} = request.match;
-	const remainingMilliseconds = request.deadline - clock();
-	if (remainingMilliseconds <= 0) {
-		return err(createFailure('deadline-exceeded'));
-	}
-
-	return slots.acquire({
-		service: service.name, workClass: workClass.name, kind: workClass.kind, remainingMilliseconds, fingerprint: hashRequest(request), excluded, isImmediate: false,
-	}, request.signal);
-}
-
 async function collectOutcome({status, headers, body, contentLength}: EndpointResponse, method: string): Promise<Result<StoredOutcome, Failure>> {
 	const chunks: Uint8Array[] = [];
 	try {
--- a/packages/http/tests/serve-idempotent.test.ts
+++ b/packages/http/tests/serve-idempotent.test.ts
@@ -93,11 +93,13 @@
 		return this;
 	}
 
-	async send(headers: Record<string, string> = {}, path = '/status/1'): Promise<{status: number; body: Buffer; milliseconds: number}> {
+	async send(headers: Record<string, string> = {}, path = '/status/1'): Promise<{status: number; outcome: unknown; body: Buffer; milliseconds: number}> {
 		const startedAt = clock();
-		const {statusCode, body} = await request(`${this.#origin}${path}`, {headers});
+		const {statusCode, headers: fields, body} = await request(`${this.#origin}${path}`, {headers});
 		const bytes = Buffer.from(await body.arrayBuffer());
-		return {status: statusCode, body: bytes, milliseconds: clock() - startedAt};
+		return {
+			status: statusCode, outcome: fields['tanagerrail-outcome'], body: bytes, milliseconds: clock() - startedAt,
+		};
 	}
 
 	stop(): void {
@@ -166,6 +168,17 @@
 	await t.rejects(fixture.send(download));
 });
 
+test('a request that may have run is not refused as not run when no further slot is granted', async t => {
+	const fixture = await startFixture(t);
+	for (const endpoint of fixture.endpoints) {
+		endpoint.update({crashTarget: '/status/1'});
+	}
+
+	const {status, outcome} = await fixture.send();
+	t.equal(status, 503);
+	t.equal(outcome, 'unknown');
+});
+
 test('a stalled request is hedged, and hedges stay within their budget', async t => {
 	const fixture = await startFixture(t);
 	for (let index = 0; index < 100; index += 1) {
--- a/packages/routing/src/attempt-outcome.ts
+++ b/packages/routing/src/attempt-outcome.ts
@@ -28,3 +28,10 @@
 	AttemptOutcome.crashed,
 	AttemptOutcome.timeout,
 ]);
+
+/** Outcomes of attempts that certainly did not run the request. */
+export const notRunOutcomes: ReadonlySet<AttemptOutcome> = new Set([
+	AttemptOutcome.refused,
+	AttemptOutcome.unreachable,
+	AttemptOutcome.unused,
+]);
