fix(http): wait for the configuration after a pause instead of refusing

Ruled out: using the former configuration meanwhile, because a paused host must not decide by an older one.

--- a/packages/cli/src/entry-host.ts
+++ b/packages/cli/src/entry-host.ts
@@ -216,6 +216,7 @@
 			claims: this.#claims.service,
 			metrics,
 			getConfiguration: () => this.#control.keeper.configuration,
+			waitConfiguration: async () => this.#control.keeper.waitRefreshed(),
 			getRetryBudget: service => this.#policies.getRetryBudget(service),
 			getHedgePolicy: match => this.#policies.getHedgePolicy(match),
 			record: record => {
--- a/packages/configuration/src/configuration-keeper.ts
+++ b/packages/configuration/src/configuration-keeper.ts
@@ -48,6 +48,7 @@
 	#refreshes = 0;
 	#timer: NodeJS.Timeout | undefined;
 	#isStopped = false;
+	#refreshed: Promise<void> = Promise.resolve();
 
 	constructor(options: Partial<ConfigurationKeeperOptions> & Pick<ConfigurationKeeperOptions, 'clock' | 'fetchFromPeer' | 'listPeers'>) {
 		this.#options = {...defaultConfigurationKeeperOptions, ...options};
@@ -94,32 +95,15 @@
 		clearTimeout(this.#timer);
 	}
 
+	/** Waits while the host asks again, so that a request need not be refused for it. */
+	async waitRefreshed(): Promise<void> {
+		await this.#refreshed;
+	}
+
 	/** Asks the table and some peers before the next decision: at a start and after a pause. */
 	async refresh(): Promise<void> {
-		this.#isRefreshing = true;
-		this.#refreshes += 1;
-		const number = this.#refreshes;
-		const {refreshMilliseconds, listPeers, peersAsked} = this.#options;
-		let timeout: NodeJS.Timeout | undefined;
-		const table = this.#readTable();
-		const peers = Promise.all(listPeers().slice(0, peersAsked).map(async hostId => this.#fetch(hostId)));
-		const askAll = async () => {
-			// The table's own record is the latest, so slow peers need not be waited for.
-			if (!(await table)) {
-				await peers;
-			}
-		};
-
-		await Promise.race([
-			askAll(),
-			new Promise<void>(resolve => {
-				timeout = setTimeout(resolve, refreshMilliseconds);
-			}),
-		]);
-		clearTimeout(timeout);
-		if (number === this.#refreshes) {
-			this.#isRefreshing = false;
-		}
+		this.#refreshed = this.#runRefresh();
+		await this.#refreshed;
 	}
 
 	/**
@@ -159,6 +143,33 @@
 		return true;
 	}
 
+	async #runRefresh(): Promise<void> {
+		this.#isRefreshing = true;
+		this.#refreshes += 1;
+		const number = this.#refreshes;
+		const {refreshMilliseconds, listPeers, peersAsked} = this.#options;
+		let timeout: NodeJS.Timeout | undefined;
+		const table = this.#readTable();
+		const peers = Promise.all(listPeers().slice(0, peersAsked).map(async hostId => this.#fetch(hostId)));
+		const askAll = async () => {
+			// The table's own record is the latest, so slow peers need not be waited for.
+			if (!(await table)) {
+				await peers;
+			}
+		};
+
+		await Promise.race([
+			askAll(),
+			new Promise<void>(resolve => {
+				timeout = setTimeout(resolve, refreshMilliseconds);
+			}),
+		]);
+		clearTimeout(timeout);
+		if (number === this.#refreshes) {
+			this.#isRefreshing = false;
+		}
+	}
+
 	#apply(record: RevisionRecord, configuration: Configuration): void {
 		const former = this.revision;
 		this.#record = record;
--- a/packages/configuration/tests/configuration-keeper.test.ts
+++ b/packages/configuration/tests/configuration-keeper.test.ts
@@ -134,3 +134,18 @@
 	keeper.adopt(createRecord(1, 'other'));
 	t.match(listViolations(), {'revision-unique': 1});
 });
+
+test('a request that waits for the answer after a pause gets a configuration and is not refused', async t => {
+	const {sources, create} = createSources();
+	sources.table = createRecord(1);
+	const keeper = create();
+	t.teardown(() => {
+		keeper.stop();
+	});
+	await keeper.start();
+	sources.table = createRecord(2);
+	void keeper.refresh();
+	t.equal(keeper.configuration, undefined);
+	await keeper.waitRefreshed();
+	t.equal(keeper.configuration?.revision, 2);
+});
--- a/packages/http/src/caller-listener.ts
+++ b/packages/http/src/caller-listener.ts
@@ -156,6 +156,10 @@
 			return err(createFailure('pipeline-full', {limit: limits.pipelinedRequests}));
 		}
 
+		if (!context.getConfiguration()) {
+			await context.waitConfiguration?.();
+		}
+
 		const configuration = context.getConfiguration();
 		if (!configuration || !isReady()) {
 			return err(createFailure('not-ready'));
--- a/packages/http/src/request-context.ts
+++ b/packages/http/src/request-context.ts
@@ -27,6 +27,8 @@
 	readonly metrics: Metrics;
 	/** The configuration in force; nothing before the host knows one. */
 	getConfiguration(): Configuration | undefined;
+	/** Waits while the host looks for a newer configuration, for a short time. */
+	waitConfiguration?(): Promise<void>;
 	/** Retry budget of a service. */
 	getRetryBudget(service: string): RetryBudget;
 	/** Hedge policy of a work class; without it, no second attempt starts while one runs. */
