--- a/packages/claims/src/write-budget.ts
+++ b/packages/claims/src/write-budget.ts
@@ -13,12 +13,12 @@
 /** Token bucket of the writes that this host may send to the table; it saves up one second's worth. */
 export class WriteBudget {
 	readonly #options: WriteBudgetOptions;
-	#tokens: number;
+	/** Full at first; the rate may not be known yet when the bucket is created. */
+	#tokens = Infinity;
 	#filledAt: number;
 
 	constructor(options: WriteBudgetOptions) {
 		this.#options = options;
-		this.#tokens = this.#getCapacity();
 		this.#filledAt = options.clock();
 	}
 
--- a/packages/cli/src/control-plane.ts
+++ b/packages/cli/src/control-plane.ts
@@ -41,7 +41,7 @@
 
 	constructor(options: Omit<ControlPlaneOptions, 'random'> & Partial<ControlPlaneOptions>) {
 		this.#options = {random: Math.random, ...options};
-		const {settings: {host, keys}, directory, clock, table, initial, onApplied, describeHost, levels, getAuthority} = options;
+		const {settings: {host, keys, shutdown}, directory, clock, table, initial, onApplied, describeHost, levels, getAuthority} = options;
 		const store = table && new RevisionStore({table});
 		this.#clients = new PeerControlClients({directory, key: keys.peers[0]!, getAuthority});
 		this.keeper = new ConfigurationKeeper({
@@ -58,9 +58,10 @@
 		this.#handlePeer = createControlHandler({
 			router: createPeerControlRouter({keeper: this.keeper, describeHost}), path: peerControlPath, keys: keys.peers,
 		});
+		const manager = store && new AnswersManager({store, limits: {shutdownMilliseconds: shutdown.shutdownMilliseconds}});
 		this.#handleOperator = createControlHandler({
 			router: createOperatorRouter({
-				answers: store && {manager: new AnswersManager({store}), store}, keeper: this.keeper, announcer, collectStatus: async () => this.#collectStatus(), levels,
+				answers: store && manager && {manager, store}, keeper: this.keeper, announcer, collectStatus: async () => this.#collectStatus(), levels,
 			}),
 			path: operatorControlPath,
 			keys: keys.admin,
--- a/packages/cli/src/entry-host.ts
+++ b/packages/cli/src/entry-host.ts
@@ -84,6 +84,7 @@
 			levels: this.#levels,
 			getAuthority,
 		});
+		// The write budget of claims reads the configuration at once, so the control plane comes first.
 		this.#claims = createHostClaims({
 			settings, incarnation: this.#incarnation, directory: this.#directory, getConfiguration: () => this.#control.keeper.latest,
 		});
@@ -94,6 +95,7 @@
 			getConfiguration: () => this.#control.keeper.latest,
 			onCost: (service, cost) => {
 				this.#levels.recorder.recordCost(service, cost);
+				this.#metrics.recordCost(service, cost);
 			},
 		});
 		this.#pauseDetector = new PauseDetector({
