fix(peers): remove the abort listener after each wait of a link

Cause: a link to a host that is down added one abort listener to its signal at each retry, every 250 ms, and removed none; Node.js warned after 11, and the listeners stayed for the life of the link.

Ruled out: raising the limit of listeners, which would hide the growth.

Conclusion: a link waits without a trace.

--- a/packages/peers/src/slot-link.ts
+++ b/packages/peers/src/slot-link.ts
@@ -266,11 +266,14 @@
 		}
 
 		await new Promise<void>(resolve => {
-			const timer = setTimeout(resolve, this.#options.retryMilliseconds);
-			signal.addEventListener('abort', () => {
+			const finish = () => {
 				clearTimeout(timer);
+				signal.removeEventListener('abort', finish);
 				resolve();
-			}, {once: true});
+			};
+
+			const timer = setTimeout(finish, this.#options.retryMilliseconds);
+			signal.addEventListener('abort', finish, {once: true});
 		});
 	}
 
