fix(routing): count crashes whose grant is lost and keep retries for failed attempts

Cause: the scenario endpoint-crashed-by-request saw 3 runs where 2 are allowed, in two of four runs of its whole test file and in none of five runs alone; an allocator that was paused discards its grants, and a crash reported for a discarded grant did not count. In one run under load two reads failed with endpoint-unreachable although other endpoints were up: second attempts after a silence of 50 ms had used up the retry budget.

Change: a release after a crash carries the fingerprint, and an allocator without the grant counts it. Second attempts leave half of the retry budget to attempts that have failed.

Conclusion: the pause is a conjecture from the code; the suite shows whether the scenario stays green.

--- a/packages/http/src/open-response.ts
+++ b/packages/http/src/open-response.ts
@@ -108,7 +108,9 @@
 		const {match} = this.#request;
 		const policy = this.#context.getHedgePolicy?.(match);
 		const isPaid = kind === 'silence' || policy?.take();
-		if (isPaid && this.#context.getRetryBudget(match.service.name).take()) {
+		const budget = this.#context.getRetryBudget(match.service.name);
+		// On a busy machine many attempts look silent; half of the budget stays for attempts that have failed.
+		if (isPaid && budget.take(budget.capacity / 2)) {
 			this.#startAttempt(kind === 'hedge');
 		}
 	}
--- a/packages/peers/src/slot-router.ts
+++ b/packages/peers/src/slot-router.ts
@@ -261,13 +261,15 @@
 		});
 	}
 
-	#release(grant: ActiveGrant, release: SlotRelease): void {
+	#release(grant: ActiveGrant, reported: SlotRelease): void {
 		const {ownerId, held: {grantId, request: {service, fingerprint}}} = grant;
 		if (!this.#active.delete(grant)) {
 			return;
 		}
 
-		if (release.outcome === AttemptOutcome.crashed) {
+		const hasCrashed = reported.outcome === AttemptOutcome.crashed;
+		const release = hasCrashed ? {...reported, crashed: fingerprint} : reported;
+		if (hasCrashed) {
 			// The retry follows at once, before the allocator's notice, and must not use a leased slot.
 			this.#memory.recordCrashes(service, [{fingerprint, crashes: 1}]);
 		}
--- a/packages/routing/src/allocator.ts
+++ b/packages/routing/src/allocator.ts
@@ -47,13 +47,14 @@
 
 /** Hands out the slots of one service from one late-binding queue. */
 export class Allocator {
+	/** Requests that have crashed endpoints of this service. */
+	readonly quarantine: Quarantine;
 	readonly #options: AllocatorOptions;
 	readonly #endpoints: EndpointPool;
 	readonly #short = new WorkQueue<AllocationTicket>();
 	readonly #long = new WorkQueue<AllocationTicket>();
 	readonly #grants = new Map<string, Grant>();
 	readonly #leases: LeaseBook;
-	readonly #quarantine: Quarantine;
 	readonly #estimator: WaitEstimator;
 	readonly #probePlanner: ProbePlanner;
 	// Hosts carry grants over to the next allocator, so ids must differ between allocators.
@@ -72,7 +73,7 @@
 		const {service, clock, random, onRecall, onDrain} = this.#options;
 		this.#service = service;
 		this.#endpoints = new EndpointPool({slotsPerEndpoint: service.slotsPerEndpoint, random});
-		this.#quarantine = new Quarantine({clock});
+		this.quarantine = new Quarantine({clock});
 		this.#leases = new LeaseBook({onRecall});
 		this.#estimator = new WaitEstimator(service);
 		this.#probePlanner = new ProbePlanner({
@@ -86,10 +87,6 @@
 		return this.#probePlanner;
 	}
 
-	get quarantine(): Quarantine {
-		return this.#quarantine;
-	}
-
 	/** Slots of all endpoints that take new work. */
 	get slots(): number {
 		return this.#endpoints.slots;
@@ -191,6 +188,7 @@
 	release(grantId: string, release: SlotRelease): void {
 		const grant = this.#grants.get(grantId);
 		if (!grant) {
+			this.#recordCrash(release.crashed);
 			return;
 		}
 
@@ -316,15 +314,15 @@
 		return Math.max(1, Math.ceil(this.#service.longWorkShare * this.quota));
 	}
 
-	#getQueue(workClass: WorkClass): WorkQueue<AllocationTicket> {
-		return workClass.kind === WorkKind.long ? this.#long : this.#short;
+	#getQueue({kind}: WorkClass): WorkQueue<AllocationTicket> {
+		return kind === WorkKind.long ? this.#long : this.#short;
 	}
 
 	#findRefusal(ticket: AllocationTicket): Failure | undefined {
 		const {request, workClass} = ticket;
 		const {name, maximumWaitFraction} = this.#service;
-		if (this.#quarantine.has(request.fingerprint)) {
-			return this.#createQuarantineFailure(request.fingerprint);
+		if (this.quarantine.has(request.fingerprint)) {
+			return this.quarantine.createFailure(request.fingerprint);
 		}
 
 		if (this.#endpoints.slots === 0) {
@@ -340,10 +338,6 @@
 		return undefined;
 	}
 
-	#createQuarantineFailure(fingerprint: string): Failure {
-		return createFailure('quarantined', {crashes: this.#quarantine.countCrashes(fingerprint)});
-	}
-
 	#grantWaiting(): void {
 		const {quota} = this;
 		while (this.waiting > 0 && this.#grants.size + this.#leases.size < quota && this.#endpoints.hasFreeSlot) {
@@ -362,7 +356,7 @@
 	#grantFrom(queue: WorkQueue<AllocationTicket>): boolean {
 		let endpoint: Endpoint | undefined;
 		const ticket = queue.take(candidate => {
-			if (this.#quarantine.isRunning(candidate.request.fingerprint)) {
+			if (this.quarantine.isRunning(candidate.request.fingerprint)) {
 				return false;
 			}
 
@@ -385,8 +379,8 @@
 
 	#grant(ticket: AllocationTicket, endpoint: Endpoint): void {
 		const {fingerprint} = ticket.request;
-		if (this.#quarantine.has(fingerprint)) {
-			ticket.onSettled(err(this.#createQuarantineFailure(fingerprint)));
+		if (this.quarantine.has(fingerprint)) {
+			ticket.onSettled(err(this.quarantine.createFailure(fingerprint)));
 			return;
 		}
 
@@ -402,7 +396,7 @@
 		endpoint.take(grantId, ticket.workClass, now);
 		this.#grants.set(grantId, {endpoint, ticket, grantedAt: now});
 		this.#longInUse += ticket.workClass.kind === WorkKind.long ? 1 : 0;
-		this.#quarantine.start(ticket.request.fingerprint);
+		this.quarantine.start(ticket.request.fingerprint);
 	}
 
 	#offerLease({endpoint, ticket: {hostId, workClass}}: Grant, {outcome}: SlotRelease): AllocatedSlot | undefined {
@@ -426,22 +420,27 @@
 
 	#observe({endpoint, ticket, grantedAt}: Grant, {outcome, isDraining}: SlotRelease, now: number): void {
 		const {fingerprint} = ticket.request;
-		this.#quarantine.end(fingerprint);
+		this.quarantine.end(fingerprint);
 		if (isDraining) {
 			this.#options.onDrain(endpoint.id);
 		}
 
-		if (outcome === AttemptOutcome.crashed) {
-			this.#quarantine.record(fingerprint);
-			this.#options.onCrash(fingerprint);
-			if (this.#quarantine.has(fingerprint)) {
-				logger.log(LogLevel.warn, 'request-quarantined', {service: this.#service.name, fingerprint});
-			}
-		}
-
+		this.#recordCrash(outcome === AttemptOutcome.crashed ? fingerprint : undefined);
 		if (outcome === AttemptOutcome.success) {
-			this.#quarantine.release(fingerprint);
+			this.quarantine.release(fingerprint);
 			this.#estimator.record(ticket.workClass, now - grantedAt);
 		}
 	}
+
+	#recordCrash(fingerprint: string | undefined): void {
+		if (fingerprint === undefined) {
+			return;
+		}
+
+		this.quarantine.record(fingerprint);
+		this.#options.onCrash(fingerprint);
+		if (this.quarantine.has(fingerprint)) {
+			logger.log(LogLevel.warn, 'request-quarantined', {service: this.#service.name, fingerprint});
+		}
+	}
 }
--- a/packages/routing/src/quarantine.ts
+++ b/packages/routing/src/quarantine.ts
@@ -1,3 +1,4 @@
+import {createFailure, type Failure} from '@tanagerrail/results';
 import type {Clock} from '@tanagerrail/telemetry';
 
 /** Options of {@link Quarantine}. */
@@ -55,6 +56,16 @@
 		return this.countCrashes(fingerprint) >= this.#options.crashLimit;
 	}
 
+	/**
+	 * Creates the refusal of a quarantined request.
+	 *
+	 * @param fingerprint - Fingerprint of the request.
+	 * @returns The failure `quarantined`.
+	 */
+	createFailure(fingerprint: string): Failure {
+		return createFailure('quarantined', {crashes: this.countCrashes(fingerprint)});
+	}
+
 	/**
 	 * Tells whether a request that has crashed an endpoint runs now; it runs one at a time.
 	 *
--- a/packages/routing/src/retry-budget.ts
+++ b/packages/routing/src/retry-budget.ts
@@ -19,6 +19,11 @@
 		this.#tokens = this.#options.capacity;
 	}
 
+	/** Tokens that can be saved up at most. */
+	get capacity(): number {
+		return this.#options.capacity;
+	}
+
 	/** Tokens earned by each request. */
 	get ratio(): number {
 		return this.#options.ratio;
@@ -32,10 +37,11 @@
 	/**
 	 * Takes one token.
 	 *
+	 * @param reserve - Tokens that must stay for attempts that matter more.
 	 * @returns Whether a further attempt is allowed.
 	 */
-	take(): boolean {
-		if (this.#tokens < 1) {
+	take(reserve = 0): boolean {
+		if (this.#tokens < 1 + reserve) {
 			return false;
 		}
 
--- a/packages/routing/src/slot-source.ts
+++ b/packages/routing/src/slot-source.ts
@@ -26,6 +26,8 @@
 	readonly milliseconds: number;
 	/** Whether the endpoint announced that it is leaving. */
 	readonly isDraining: boolean;
+	/** Fingerprint of a request that crashed the endpoint; an allocator that has lost the grant counts the crash by it. */
+	readonly crashed?: string;
 };
 
 /** Permission to use one slot of one endpoint for one request. */
--- a/packages/routing/tests/allocator.test.ts
+++ b/packages/routing/tests/allocator.test.ts
@@ -153,6 +153,17 @@
 	t.equal(fixture.settled[4]?.result.isOk(), true, 'other requests run');
 });
 
+test('a crash counts although the allocator has lost the grant, for example in a pause', async t => {
+	const fixture = new AllocatorFixture({endpoints: 4});
+	const crash = {
+		outcome: 'crashed', milliseconds: 1, isDraining: false, crashed: 'bad',
+	} as const;
+	fixture.allocator.release('unknown', crash);
+	fixture.allocator.release('unknown', crash);
+	fixture.acquire({fingerprint: 'bad'});
+	t.equal(fixture.getRefusal(0), 'quarantined');
+});
+
 test('slots of a lost host are free again, and its late releases do not count', async t => {
 	const fixture = new AllocatorFixture();
 	for (let index = 0; index < 3; index += 1) {
