refactor: share the planned reads of experiments and drop unused work

Cause: three experiments repeated the same plan of arrivals; each candidate for a slot computed its expected wait, which only a slow endpoint needs; connections counted answered requests that nobody read.

Ruled out: merging the experiments' fixtures further, since their faults and lengths differ.

Change: planStandardArrivals; the expected wait is computed when a slow endpoint is considered; the counter is gone. Behaviour stays as it is.

--- a/packages/bench/src/experiments/bad-endpoint.ts
+++ b/packages/bench/src/experiments/bad-endpoint.ts
@@ -2,13 +2,13 @@
 import {
 	runVariant, updateEndpoint, Variant, type Fleet, type VariantRun,
 } from '../fleet/index.js';
-import {planArrivals, summarizeSamples} from '../load/index.js';
+import {summarizeSamples} from '../load/index.js';
 import {computeMostInFlight, listRuns} from './analyse-runs.js';
 import {
 	checkAtMost, formatFigure, type ExperimentOptions, type ExperimentReport, type TargetResult,
 } from './experiment.js';
 import {
-	buildStandardService, computeRate, describeRun, selectWindow, standardFleet, standardServiceName,
+	buildStandardService, describeRun, planStandardArrivals, selectWindow, standardFleet,
 } from './standard-fleet.js';
 
 const load = 0.6;
@@ -75,14 +75,7 @@
 		seed,
 		entries: standardFleet.entries,
 		testbed: {services: [buildStandardService()]},
-		arrivals: planArrivals({
-			seed,
-			hosts: standardFleet.entries,
-			phases: [{milliseconds: length.end, rate: computeRate(load)}],
-			mix: [{
-				kind: 'short', share: 1, path: standardServiceName, meanMilliseconds: standardFleet.meanMilliseconds,
-			}],
-		}),
+		arrivals: planStandardArrivals({seed, load, milliseconds: length.end}),
 		faults: [{at: length.faultAt, apply: cases[name]!}],
 		withRuns: true,
 	});
--- a/packages/bench/src/experiments/quiet-connection.ts
+++ b/packages/bench/src/experiments/quiet-connection.ts
@@ -2,13 +2,13 @@
 import {
 	runVariant, updateEndpoint, Variant, type VariantRun,
 } from '../fleet/index.js';
-import {isAnswered, planArrivals} from '../load/index.js';
+import {isAnswered} from '../load/index.js';
 import {listRuns} from './analyse-runs.js';
 import {
 	checkAtMost, type ExperimentOptions, type ExperimentReport,
 } from './experiment.js';
 import {
-	buildStandardService, computeRate, describeRun, standardFleet, standardServiceName,
+	buildStandardService, describeRun, planStandardArrivals, standardFleet,
 } from './standard-fleet.js';
 
 const load = 0.6;
@@ -56,14 +56,7 @@
 		seed,
 		entries: standardFleet.entries,
 		testbed: {services: [buildStandardService()]},
-		arrivals: planArrivals({
-			seed,
-			hosts: standardFleet.entries,
-			phases: [{milliseconds: end, rate: computeRate(load)}],
-			mix: [{
-				kind: 'short', share: 1, path: standardServiceName, meanMilliseconds: standardFleet.meanMilliseconds,
-			}],
-		}),
+		arrivals: planStandardArrivals({seed, load, milliseconds: end}),
 		faults: [{
 			at: silentAt,
 			async apply({testbed}) {
--- a/packages/bench/src/experiments/retry-storm.ts
+++ b/packages/bench/src/experiments/retry-storm.ts
@@ -1,13 +1,12 @@
 import {
 	runVariant, updateEndpoint, Variant, type Fleet, type VariantRun,
 } from '../fleet/index.js';
-import {planArrivals} from '../load/index.js';
 import {collectInTime, listRuns} from './analyse-runs.js';
 import {
 	checkAtLeast, checkAtMost, formatFigure, type ExperimentOptions, type ExperimentReport,
 } from './experiment.js';
 import {
-	buildStandardService, computeRate, describeRun, selectWindow, standardFleet, standardServiceName,
+	buildStandardService, describeRun, planStandardArrivals, selectWindow, standardFleet,
 } from './standard-fleet.js';
 
 const load = 0.6;
@@ -56,14 +55,7 @@
 		seed,
 		entries: standardFleet.entries,
 		testbed: {services: [buildStandardService()]},
-		arrivals: planArrivals({
-			seed,
-			hosts: standardFleet.entries,
-			phases: [{milliseconds: end, rate: computeRate(load)}],
-			mix: [{
-				kind: 'short', share: 1, path: standardServiceName, meanMilliseconds: standardFleet.meanMilliseconds,
-			}],
-		}),
+		arrivals: planStandardArrivals({seed, load, milliseconds: end}),
 		faults: [
 			{at: faultAt, apply: async fleet => setFailing(fleet, true)},
 			{at: faultEnd, apply: async fleet => setFailing(fleet, false)},
--- a/packages/bench/src/experiments/standard-fleet.ts
+++ b/packages/bench/src/experiments/standard-fleet.ts
@@ -1,7 +1,7 @@
 import type {ServiceConfiguration, WorkClass} from '@tanagerrail/configuration';
 import type {EndpointBehaviour} from '@tanagerrail/stand-ins';
 import type {VariantRun} from '../fleet/index.js';
-import {summarizeSamples, type Sample} from '../load/index.js';
+import {planArrivals, summarizeSamples, type Sample} from '../load/index.js';
 import {buildService, shortWorkClass, type TestbedService} from '../testbed/index.js';
 import {formatFigure, type FigureRow} from './experiment.js';
 
@@ -54,6 +54,23 @@
 	return share * standardFleet.endpoints * standardFleet.slots * 1000 / (meanMilliseconds + timerMilliseconds);
 }
 
+/**
+ * Plans the reads of experiments with one constant load.
+ *
+ * @param options - Seed, share of the slots' capacity and length in milliseconds.
+ * @returns The arrivals, spread over all entry hosts.
+ */
+export function planStandardArrivals({seed, load, milliseconds}: {seed: number; load: number; milliseconds: number}): ReturnType<typeof planArrivals> {
+	return planArrivals({
+		seed,
+		hosts: standardFleet.entries,
+		phases: [{milliseconds, rate: computeRate(load)}],
+		mix: [{
+			kind: 'short', share: 1, path: standardServiceName, meanMilliseconds: standardFleet.meanMilliseconds,
+		}],
+	});
+}
+
 /**
  * Selects the samples whose intended start lies in a time window.
  *
--- a/packages/http/src/connection-pool.ts
+++ b/packages/http/src/connection-pool.ts
@@ -22,8 +22,6 @@
 	readonly client: Client;
 	/** Monotonic time of the last byte received; the time of opening for a new one. */
 	lastByteAt: number;
-	/** Requests that were answered on it. */
-	answered: number;
 };
 
 /** Connections to one endpoint, the most recently used first, so that stale ones are not touched. */
@@ -67,7 +65,6 @@
 		}
 
 		connection.lastByteAt = this.#options.clock();
-		connection.answered += 1;
 		if (this.#idle.length >= this.#options.connections) {
 			this.drop(connection);
 			return;
@@ -113,7 +110,7 @@
 		const client = new Client(`http://${address}`, {
 			pipelining: 1, connect: {timeout: connectTimeout}, keepAliveTimeout: idleTimeout, keepAliveMaxTimeout: idleTimeout, headersTimeout: 0, bodyTimeout: 0,
 		});
-		const connection: Connection = {client, lastByteAt: clock(), answered: 0};
+		const connection: Connection = {client, lastByteAt: clock()};
 		// A client would open a new connection by itself; a pool member stands for one connection only.
 		client.on('disconnect', () => {
 			this.#remove(connection);
--- a/packages/http/src/serve-keyed.ts
+++ b/packages/http/src/serve-keyed.ts
@@ -92,7 +92,6 @@
 		}
 
 		const grant = slot.value;
-
 		if (claim && !context.claims.recordDispatch(claim)) {
 			grant.release({outcome: AttemptOutcome.unused, milliseconds: 0, isDraining: false});
 			return err(createFailure('outcome-unknown'));
--- a/packages/routing/src/allocator.ts
+++ b/packages/routing/src/allocator.ts
@@ -363,7 +363,7 @@
 			endpoint = this.#endpoints.choose({
 				excluded: candidate.request.excluded,
 				failureDomain: candidate.failureDomain,
-				expectedWait: this.computeExpectedWait(candidate),
+				getExpectedWait: () => this.computeExpectedWait(candidate),
 				workClass: candidate.workClass,
 				now: this.#options.clock(),
 			});
--- a/packages/routing/src/endpoint-pool.ts
+++ b/packages/routing/src/endpoint-pool.ts
@@ -16,7 +16,7 @@
 	/** Failure domain of the asking host; the same one is preferred when all else is equal. */
 	readonly failureDomain: string;
 	/** Time the request would otherwise wait, in milliseconds; a slow endpoint is used when it is faster than waiting. */
-	readonly expectedWait: number;
+	readonly getExpectedWait: () => number;
 	readonly workClass: WorkClass;
 	readonly now: number;
 };
@@ -193,7 +193,7 @@
 
 		// A slow endpoint is better than a longer wait.
 		const duration = (slow?.computeSlowness(choice.now) ?? Infinity) * choice.workClass.usualMilliseconds;
-		return duration < choice.expectedWait ? slow : undefined;
+		return slow && duration < choice.getExpectedWait() ? slow : undefined;
 	}
 
 	/** Ranks by free slots first, then the same failure domain, then at random. */
