fix(peers): end the reservation of a new allocator when its grace is over

Cause: a new allocator holds back the share of hosts that have not connected for 500 ms. Its end was noticed only by a timer within the next 100 ms; a process that did not run then kept the reservation until the host list changed. In the scenario graceful-stop a read waited 2 s for a slot and got 504 (code 2002), in 2 of 8 runs side by side.

Ruled out: counting hosts with an open link as connected, because a host may still use slots that the former allocator gave; the graceful shutdown itself, since the failure came before the stop.

Change: the allocator's entry remembers that it is joining, and the timer looks again until it is not.

--- a/packages/peers/src/allocator-registry.ts
+++ b/packages/peers/src/allocator-registry.ts
@@ -34,7 +34,15 @@
 	joinGraceMilliseconds: 500, expireMilliseconds: 5, random: Math.random, onCost: () => undefined,
 };
 
-type Entry = {readonly allocator: Allocator; readonly prober: LoadProber; readonly createdAt: number; readonly users: Set<string>; readonly moved: Set<string>};
+type Entry = {
+	readonly allocator: Allocator;
+	readonly prober: LoadProber;
+	readonly createdAt: number;
+	readonly users: Set<string>;
+	readonly moved: Set<string>;
+	/** Whether the share of hosts that have not connected is still held back. */
+	isJoining: boolean;
+};
 
 /** The allocators that run on this host, by service. */
 export class AllocatorRegistry {
@@ -107,7 +115,7 @@
 		});
 		prober.start();
 		this.#entries.set(service, {
-			allocator, prober, createdAt: clock(), users: new Set([this.#options.hostId]), moved: new Set(),
+			allocator, prober, createdAt: clock(), users: new Set([this.#options.hostId]), moved: new Set(), isJoining: true,
 		});
 		this.#updateEntry(service);
 		this.#notify(({onCreate}) => onCreate?.(service, allocator));
@@ -206,8 +214,8 @@
 	}
 
 	#expire(): void {
-		for (const [service, {allocator, createdAt}] of this.#entries) {
-			if (this.#options.clock() - createdAt < this.#options.joinGraceMilliseconds + 100) {
+		for (const [service, {allocator, isJoining}] of this.#entries) {
+			if (isJoining) {
 				this.#updateEntry(service);
 			}
 
@@ -240,8 +248,8 @@
 		entry.allocator.updateEndpoints(endpoints.map(({id, address, failureDomain, state}) => ({
 			id, address, failureDomain, isLeaving: state === HostState.leaving,
 		})));
-		const isJoining = clock() - entry.createdAt < joinGraceMilliseconds;
+		entry.isJoining = clock() - entry.createdAt < joinGraceMilliseconds;
 		const missing = Math.max(0, listed - entry.users.size);
-		entry.allocator.setShare(share, isJoining && share.isFirstRank ? Math.floor(entry.allocator.slots * missing / listed) : 0);
+		entry.allocator.setShare(share, entry.isJoining && share.isFirstRank ? Math.floor(entry.allocator.slots * missing / listed) : 0);
 	}
 }
