--- a/packages/bench/src/baselines/baseline-main.ts
+++ b/packages/bench/src/baselines/baseline-main.ts
@@ -1,7 +1,7 @@
 import process from 'node:process';
 import {createUnavailableClaims} from '@tanagerrail/claims';
 import type {Configuration} from '@tanagerrail/configuration';
-import {CallerListener, EndpointConnections} from '@tanagerrail/http';
+import {createServiceListener, EndpointConnections} from '@tanagerrail/http';
 import {RetryBudget} from '@tanagerrail/routing';
 import {createMetrics, readMonotonicClock} from '@tanagerrail/telemetry';
 import {RandomSource} from '../load/random-source.js';
@@ -23,7 +23,7 @@
 	const source = new RandomSource(seed);
 	const random = () => source.draw();
 	const budgets = new Map(configuration.services.map(({name, retryBudget}) => [name, new RetryBudget({ratio: retryBudget})]));
-	const listener = new CallerListener({
+	const listener = createServiceListener({
 		context: {
 			hostId: `baseline-${seed}`,
 			clock: readMonotonicClock,
--- /dev/null
+++ b/packages/cli/src/commands/edge.ts
@@ -0,0 +1,96 @@
+import fs from 'node:fs';
+import process from 'node:process';
+import {
+	createLogger, createStdoutSink, LogLevel, readMonotonicClock, setCommonLogFields, setLogFilter, setLogSink,
+} from '@tanagerrail/telemetry';
+import type {CAC} from 'cac';
+import {createFailure, type Failure} from '@tanagerrail/results';
+import {EdgeHost} from '../edge-host.js';
+import {loadEdgeSettings} from '../edge-settings.js';
+import {printFailures} from './print-failures.js';
+
+const logger = createLogger('host');
+
+/** Time between two looks at the settings file, in milliseconds; it may change without a signal. */
+const settingsCheckMilliseconds = 1000;
+
+/**
+ * Adds the command that runs an edge host.
+ *
+ * @param program - The command line.
+ */
+export function addEdgeCommand(program: CAC): void {
+	program
+		.command('edge', 'Run a host on the platform')
+		.option('--settings <file>', 'Settings file (YAML)')
+		.action(async ({settings: file}: {settings?: string}) => {
+			const failures = file === undefined
+				? [createFailure('usage-invalid', {reason: '--settings FILE is missing'})]
+				: await runEdge(file);
+			if (failures.length > 0) {
+				printFailures(failures);
+			}
+		});
+}
+
+/**
+ * Runs an edge host until it is told to stop.
+ *
+ * @param file - Path of the settings file.
+ * @returns Nothing once the host listens, or the mistakes of the settings.
+ */
+async function runEdge(file: string): Promise<readonly Failure[]> {
+	const loaded = loadEdgeSettings(file);
+	if (loaded.isErr()) {
+		return loaded.error;
+	}
+
+	const {host: {id, failureDomain}, log} = loaded.value;
+	setCommonLogFields({host: id, failureDomain});
+	setLogFilter(log.filter);
+	setLogSink(createStdoutSink({
+		clock: readMonotonicClock,
+		linesPerSecond: log.linesPerSecond,
+		onDropped(lines) {
+			logger.log(LogLevel.warn, 'log-lines-dropped', {lines});
+		},
+	}));
+	const host = new EdgeHost(loaded.value);
+	watchSettings(file, host);
+	process.once('SIGTERM', () => {
+		void host.stop().then(() => {
+			// Everything that was read has been answered; connections that are still open end with the process.
+			process.exit(0);
+		});
+	});
+	await host.start();
+	return [];
+}
+
+function watchSettings(file: string, host: EdgeHost): void {
+	let text = readText(file);
+	const reload = () => {
+		const newest = readText(file);
+		if (newest === text || newest === undefined) {
+			return;
+		}
+
+		text = newest;
+		loadEdgeSettings(file).match(settings => {
+			host.updateSettings(settings);
+		}, ([failure]) => {
+			logger.logFailure(LogLevel.error, 'settings-not-reloaded', failure!);
+		});
+	};
+
+	process.on('SIGHUP', reload);
+	setInterval(reload, settingsCheckMilliseconds).unref();
+}
+
+function readText(file: string): string | undefined {
+	try {
+		return fs.readFileSync(file, 'utf8');
+	} catch {
+		return undefined;
+	}
+}
--- /dev/null
+++ b/packages/cli/src/commands/print-failures.ts
@@ -0,0 +1,15 @@
+import process from 'node:process';
+import {formatFailure, resultCodes, type Failure} from '@tanagerrail/results';
+
+/**
+ * Prints failures that keep a command from running, and sets the exit code.
+ *
+ * @param failures - At least one failure.
+ */
+export function printFailures(failures: readonly Failure[]): void {
+	for (const failure of failures) {
+		process.stderr.write(`${resultCodes[failure.id].number} ${formatFailure(failure)}\n`);
+	}
+
+	process.exitCode = 1;
+}
--- a/packages/cli/src/entry-host.ts
+++ b/packages/cli/src/entry-host.ts
@@ -5,7 +5,7 @@
 import process from 'node:process';
 import type {Configuration} from '@tanagerrail/configuration';
 import {
-	AttemptPolicies, CallerListener, createListenerServer, EndpointConnections, TlsFiles, type RequestContext,
+	AttemptPolicies, createServiceListener, createListenerServer, EndpointConnections, TlsFiles, type RequestContext,
 } from '@tanagerrail/http';
 import {HostDirectory, PauseDetector} from '@tanagerrail/membership';
 import {
@@ -38,7 +38,7 @@
 	readonly #registry: AllocatorRegistry;
 	readonly #router: SlotRouter;
 	readonly #slotServer: SlotServer;
-	readonly #listener: CallerListener;
+	readonly #listener: ReturnType<typeof createServiceListener>;
 	readonly #claims: HostClaims;
 	readonly #connections = new EndpointConnections({
 		clock, connections: 200, connectTimeout: 250, idleTimeout: 30_000,
@@ -132,7 +132,7 @@
 			this.#handleAdmin(req, res);
 		});
 		const client = createMetrics({host: metrics.address, port: metrics.port, tags: {host: host.id}});
-		this.#listener = new CallerListener({limits, tls: callerTls, context: this.#createContext(client)});
+		this.#listener = createServiceListener({limits, tls: callerTls, context: this.#createContext(client)});
 		this.#metrics = new HostMetrics({metrics: client, clock, getInProgress: () => this.#listener.inProgress});
 	}
 
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,10 +1,10 @@
 #!/usr/bin/env node
 import process from 'node:process';
 import {cac} from 'cac';
-import {
-	createFailure, formatFailure, resultCodes, type Failure,
-} from '@tanagerrail/results';
+import {createFailure} from '@tanagerrail/results';
 import {printOutcome} from './commands/command-outcome.js';
+import {printFailures} from './commands/print-failures.js';
+import {addEdgeCommand} from './commands/edge.js';
 import {addOperatorCommands, mergeCommandWords} from './commands/operator-commands.js';
 import {EntryHost, stopOnSignal} from './entry-host.js';
 import {watchLogFilter} from './host-controls.js';
@@ -26,6 +26,7 @@
 		watchLogFilter(file!);
 		await host.start();
 	});
+addEdgeCommand(program);
 addOperatorCommands(program);
 program.help();
 
@@ -41,14 +42,6 @@
 	});
 }
 
-function printFailures(failures: readonly Failure[]): void {
-	for (const failure of failures) {
-		process.stderr.write(`${resultCodes[failure.id].number} ${formatFailure(failure)}\n`);
-	}
-
-	process.exitCode = 1;
-}
-
 async function runMain(): Promise<void> {
 	const argv = mergeCommandWords(process.argv);
 	try {
--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -15,3 +15,6 @@
 export * from './plan-change.js';
 export * from './revision-record.js';
 export * from './revision-store.js';
+export * from './route-index.js';
+export * from './route-table.js';
+export * from './traffic-splitter.js';
--- a/packages/http/src/caller-listener.ts
+++ b/packages/http/src/caller-listener.ts
@@ -1,47 +1,53 @@
-import {randomUUID} from 'node:crypto';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
-import {err, ok, type Result} from 'neverthrow';
-import {matchRoute} from '@tanagerrail/configuration';
 import {
-	buildProblemDetails, createFailure, getOutcome, problemMediaType, resultCodes, type Failure,
+	buildProblemDetails, createFailure, getOutcome, problemMediaType, type Failure,
 } from '@tanagerrail/results';
-import {createLogger, LogLevel} from '@tanagerrail/telemetry';
-import {hashRequest, type CallerRequest} from './caller-request.js';
-import {checkHead} from './check-head.js';
+import {createLogger, LogLevel, type Clock} from '@tanagerrail/telemetry';
 import {createListenerServer} from './create-listener-server.js';
-import {readBody} from './read-body.js';
-import type {RequestContext} from './request-context.js';
 import {defaultRequestLimits, type RequestLimits} from './request-limits.js';
-import {serveIdempotent} from './serve-idempotent.js';
-import {serveKeyed} from './serve-keyed.js';
+import type {ReceivedRequest, RequestReceiver} from './request-receiver.js';
 import type {TlsFiles} from './tls-files.js';
 
 const logger = createLogger('http');
 
 /** Options of {@link CallerListener}. */
-export type CallerListenerOptions = {
-	readonly context: RequestContext;
+export type CallerListenerOptions<R extends ReceivedRequest> = {
+	readonly receiver: RequestReceiver<R>;
+	readonly clock: Clock;
 	readonly limits: RequestLimits;
-	/** Whether new work is taken. */
-	readonly isReady: () => boolean;
 	/** Certificate and key; without them callers are served over plain TCP. */
 	readonly tls?: TlsFiles;
 };
 
-/** Requests on one connection: all in progress, those that may run at an endpoint, and whether no further one may. */
-type ConnectionUse = {inProgress: number; dispatched: number; isRefused: boolean};
+/** Limits that may change while the listener runs. */
+export type ChangeableLimits = Pick<RequestLimits, 'headerBytes' | 'headersMilliseconds'> & {
+	/** Time for which a connection may stay idle between requests, in milliseconds. */
+	readonly idleMilliseconds: number;
+};
+
+/** Requests on one connection. */
+type ConnectionUse = {
+	inProgress: number;
+	/** Those that may run at an endpoint. */
+	dispatched: number;
+	/** Whether the connection was refused, so that no further request may run. */
+	isRefused: boolean;
+	/** Whether the head of its last response has been written. */
+	isClosing: boolean;
+};
 
 /** Receives the requests of callers. */
-export class CallerListener {
-	readonly #options: CallerListenerOptions;
+export class CallerListener<R extends ReceivedRequest> {
+	readonly #options: CallerListenerOptions<R>;
 	readonly #server: Server;
 	readonly #uses = new WeakMap<Socket, ConnectionUse>();
 	#inProgress = 0;
 	#isDraining = false;
+	#isStopped = false;
 
-	constructor(options: Partial<CallerListenerOptions> & Pick<CallerListenerOptions, 'context'>) {
-		this.#options = {limits: defaultRequestLimits, isReady: () => true, ...options};
+	constructor(options: Partial<CallerListenerOptions<R>> & Pick<CallerListenerOptions<R>, 'receiver' | 'clock'>) {
+		this.#options = {limits: defaultRequestLimits, ...options};
 		const {limits, tls} = this.#options;
 		this.#server = createListenerServer({
 			maxHeaderSize: limits.headerBytes,
@@ -82,6 +88,17 @@
 		return typeof bound === 'object' && bound ? bound.port : port;
 	}
 
+	/**
+	 * Replaces limits; connections that are open keep their limit on headers.
+	 *
+	 * @param limits - The new limits.
+	 */
+	updateLimits({headerBytes, headersMilliseconds, idleMilliseconds}: ChangeableLimits): void {
+		Object.assign(this.#server, {maxHeaderSize: headerBytes});
+		this.#server.headersTimeout = headersMilliseconds;
+		this.#server.keepAliveTimeout = idleMilliseconds;
+	}
+
 	/** Asks callers to close their connections after their next response. */
 	drain(): void {
 		this.#isDraining = true;
@@ -90,6 +107,7 @@
 	/** Stops accepting connections; requests in progress go on. */
 	stop(): void {
 		this.#isDraining = true;
+		this.#isStopped = true;
 		this.#server.close();
 		this.#server.closeIdleConnections();
 	}
@@ -100,24 +118,33 @@
 	}
 
 	async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
-		const {clock} = this.#options.context;
+		const {clock, receiver} = this.#options;
 		const arrivedAt = clock();
-		const id = randomUUID();
+		const id = receiver.readId(req);
 		const use = this.#getUse(req.socket);
+		// The connection was answered with its last response; what follows on it counts as not read.
+		if (use.isClosing) {
+			return;
+		}
+
 		this.#inProgress += 1;
 		use.inProgress += 1;
 		res.once('close', () => {
 			use.inProgress -= 1;
 		});
-		if (this.#isDraining) {
-			res.setHeader('connection', 'close');
-		}
+		const beforeHead = () => {
+			// Responses that are due after this one would be lost with the connection.
+			if (this.#isDraining && use.inProgress === 1) {
+				use.isClosing = true;
+				res.setHeader('connection', 'close');
+			}
+		};
 
 		try {
-			const received = await this.#receive(req, res, {id, arrivedAt});
+			const received = await receiver.receive(req, res, {arrivedAt, connectionRequests: use.inProgress});
 			if (received.isErr()) {
-				this.#countMalformed(received.error);
-				this.#refuse(res, received.error, {id});
+				receiver.countRefusal(received.error);
+				this.#refuse(res, received.error, {id, beforeHead});
 				return;
 			}
 
@@ -131,121 +158,46 @@
 			res.once('close', () => {
 				use.dispatched -= 1;
 			});
-			await this.#serve(received.value, res);
+			const served = await receiver.serve(received.value, res, beforeHead);
+			if (served.isErr()) {
+				this.#refuse(res, served.error, {id: received.value.id, beforeHead});
+			}
 		} catch (error) {
 			logger.log(LogLevel.error, 'internal-error', {request: id, reason: String(error)});
-			this.#refuse(res, createFailure('internal-error', {reason: 'see the log'}), {id});
+			this.#refuse(res, createFailure('internal-error', {reason: 'see the log'}), {id, beforeHead});
 		} finally {
 			this.#inProgress -= 1;
-			if (this.#isDraining) {
+			if (this.#isStopped) {
 				this.#server.closeIdleConnections();
 			}
 		}
 	}
 
-	async #receive(req: IncomingMessage, res: ServerResponse, {id, arrivedAt}: {id: string; arrivedAt: number}): Promise<Result<CallerRequest, Failure>> {
-		const {context, limits, isReady} = this.#options;
-		const method = req.method ?? 'GET';
-		const target = req.url ?? '/';
-		const checked = checkHead(req);
-		if (checked.isErr()) {
-			return err(checked.error);
-		}
-
-		if (this.#getUse(req.socket).inProgress > limits.pipelinedRequests) {
-			return err(createFailure('pipeline-full', {limit: limits.pipelinedRequests}));
-		}
-
-		if (!context.getConfiguration()) {
-			await context.waitConfiguration?.();
-		}
-
-		const configuration = context.getConfiguration();
-		if (!configuration || !isReady()) {
-			return err(createFailure('not-ready'));
-		}
-
-		const [path = '/'] = target.split('?', 1);
-		const match = matchRoute(configuration, method, path);
-		if (!match) {
-			return err(createFailure('route-unknown', {method, path}));
-		}
-
-		const body = await readBody(req, limits.bodyBytes);
-		if (body.isErr()) {
-			return err(body.error);
-		}
-
-		const asked = Number(req.headers['request-timeout'] ?? Infinity);
-		const allowed = Math.min(match.workClass.deadlineMilliseconds, asked > 0 ? asked : Infinity);
-		const controller = new AbortController();
-		res.once('close', () => {
-			if (!res.writableFinished) {
-				controller.abort();
-			}
-		});
-		return ok({
-			id, method, target, headers: req.headers, body: body.value, match, arrivedAt,
-			deadline: arrivedAt + allowed, callerAddress: req.socket.remoteAddress ?? 'unknown', signal: controller.signal,
-			fingerprint: hashRequest({
-				method, target, body: body.value, match,
-			}),
-			wait: {milliseconds: 0},
-		});
-	}
-
-	async #serve(request: CallerRequest, res: ServerResponse): Promise<void> {
-		const {context} = this.#options;
-		const {service, workClass, route} = request.match;
-		const serve = route.idempotent ? serveIdempotent : serveKeyed;
-		const served = await serve(request, res, context);
-		const milliseconds = context.clock() - request.arrivedAt;
-		const tags = {service: service.name, work_class: workClass.name};
-		context.metrics.recordTiming('request.duration', milliseconds, tags);
-		if (served.isErr()) {
-			context.metrics.count('request.refused', 1, {...tags, code: String(resultCodes[served.error.id].number)});
-			this.#refuse(res, served.error, {id: request.id});
-		}
-
-		const status = served.isErr() ? resultCodes[served.error.id].status : served.value;
-		context.metrics.count('request.finished', 1, {...tags, status_class: `${Math.floor(status / 100)}xx`});
-		context.record({
-			service: service.name,
-			workClass: workClass.name,
-			milliseconds,
-			status,
-			code: served.isErr() ? resultCodes[served.error.id].number : undefined,
-			waitMilliseconds: request.wait.milliseconds,
-		});
-	}
-
-	#refuse(res: ServerResponse, failure: Failure, {id}: {id: string}): void {
+	#refuse(res: ServerResponse, failure: Failure, {id, beforeHead}: {id: string; beforeHead: () => void}): void {
 		logger.logFailure(LogLevel.debug, 'request-refused', failure, {request: id});
 		if (res.headersSent || res.destroyed) {
 			res.destroy();
 			return;
 		}
 
+		beforeHead();
 		const details = buildProblemDetails(failure);
 		const body = JSON.stringify(details);
 		res.writeHead(details.status, {
 			'content-type': problemMediaType, 'content-length': Buffer.byteLength(body), 'tanagerrail-outcome': getOutcome(failure),
+			...this.#options.receiver.buildRefusalHeaders(failure),
 			...(res.req.complete ? {} : {connection: 'close'}),
 		});
 		res.end(body);
 	}
 
-	#countMalformed({id}: Failure): void {
-		this.#options.context.metrics.count('request.malformed', 1, {code: String(resultCodes[id].number)});
-	}
-
 	#getUse(socket: Socket): ConnectionUse {
 		const known = this.#uses.get(socket);
 		if (known) {
 			return known;
 		}
 
-		const use = {inProgress: 0, dispatched: 0, isRefused: false};
+		const use = {inProgress: 0, dispatched: 0, isRefused: false, isClosing: false};
 		this.#uses.set(socket, use);
 		return use;
 	}
@@ -265,7 +217,7 @@
 			ERR_HTTP_REQUEST_TIMEOUT: createFailure('request-timeout', {limit: requestMilliseconds}),
 		};
 		const failure = failures[code] ?? createFailure('request-malformed', {reason: 'it is not valid HTTP/1.1'});
-		this.#countMalformed(failure);
+		this.#options.receiver.countRefusal(failure);
 		const details = buildProblemDetails(failure);
 		const body = JSON.stringify(details);
 		socket.end(`HTTP/1.1 ${details.status} Refused\r\ncontent-type: ${problemMediaType}\r\ncontent-length: ${Buffer.byteLength(body)}\r\n`
--- a/packages/http/src/connection-pool.ts
+++ b/packages/http/src/connection-pool.ts
@@ -45,13 +45,43 @@
 	 * @returns An idle connection, or a new one.
 	 */
 	take(maximumSilence = Infinity): Connection {
+		return this.takeIdle(maximumSilence) ?? this.open();
+	}
+
+	/**
+	 * Takes an idle connection out of the pool.
+	 *
+	 * @param maximumSilence - Longest time since the last byte, in milliseconds; an older connection is not used.
+	 * @returns The most recently used connection, or nothing.
+	 */
+	takeIdle(maximumSilence = Infinity): Connection | undefined {
 		const recent = this.#idle.at(-1);
-		if (recent && this.#options.clock() - recent.lastByteAt <= maximumSilence) {
-			this.#idle.pop();
-			return recent;
+		if (!recent || this.#options.clock() - recent.lastByteAt > maximumSilence) {
+			return undefined;
 		}
 
-		return this.#open();
+		this.#idle.pop();
+		return recent;
+	}
+
+	/**
+	 * Opens a connection.
+	 *
+	 * @returns A new connection.
+	 */
+	open(): Connection {
+		const {address, connectTimeout, idleTimeout, clock} = this.#options;
+		const client = new Client(`http://${address}`, {
+			pipelining: 1, connect: {timeout: connectTimeout}, keepAliveTimeout: idleTimeout, keepAliveMaxTimeout: idleTimeout, headersTimeout: 0, bodyTimeout: 0,
+		});
+		const connection: Connection = {client, lastByteAt: clock()};
+		// A client would open a new connection by itself; a pool member stands for one connection only.
+		client.on('disconnect', () => {
+			this.#remove(connection);
+			void client.destroy();
+		});
+		this.#all.add(connection);
+		return connection;
 	}
 
 	/**
@@ -105,21 +135,6 @@
 		}
 	}
 
-	#open(): Connection {
-		const {address, connectTimeout, idleTimeout, clock} = this.#options;
-		const client = new Client(`http://${address}`, {
-			pipelining: 1, connect: {timeout: connectTimeout}, keepAliveTimeout: idleTimeout, keepAliveMaxTimeout: idleTimeout, headersTimeout: 0, bodyTimeout: 0,
-		});
-		const connection: Connection = {client, lastByteAt: clock()};
-		// A client would open a new connection by itself; a pool member stands for one connection only.
-		client.on('disconnect', () => {
-			this.#remove(connection);
-			void client.destroy();
-		});
-		this.#all.add(connection);
-		return connection;
-	}
-
 	#remove(connection: Connection): void {
 		this.#all.delete(connection);
 		const index = this.#idle.indexOf(connection);
--- /dev/null
+++ b/packages/http/src/create-service-listener.ts
@@ -0,0 +1,29 @@
+import type {CallerRequest} from './caller-request.js';
+import {CallerListener} from './caller-listener.js';
+import type {RequestContext} from './request-context.js';
+import {defaultRequestLimits, type RequestLimits} from './request-limits.js';
+import {ServiceReceiver} from './service-receiver.js';
+import type {TlsFiles} from './tls-files.js';
+
+/** Options of {@link createServiceListener}. */
+export type ServiceListenerOptions = {
+	readonly context: RequestContext;
+	readonly limits: RequestLimits;
+	/** Whether new work is taken. */
+	readonly isReady: () => boolean;
+	/** Certificate and key; without them callers are served over plain TCP. */
+	readonly tls?: TlsFiles;
+};
+
+/**
+ * Creates the listener of the product's own interface.
+ *
+ * @param options - The request path and its limits.
+ * @returns A listener that has not started.
+ */
+export function createServiceListener(options: Partial<ServiceListenerOptions> & Pick<ServiceListenerOptions, 'context'>): CallerListener<CallerRequest> {
+	const {context, limits, isReady, tls} = {limits: defaultRequestLimits, isReady: () => true, ...options};
+	return new CallerListener({
+		receiver: new ServiceReceiver({context, limits, isReady}), clock: context.clock, limits, ...(tls && {tls}),
+	});
+}
--- /dev/null
+++ b/packages/http/src/exchange.ts
@@ -0,0 +1,196 @@
+import type {IncomingHttpHeaders} from 'node:http';
+import {err, ok, type Result} from 'neverthrow';
+import type {Dispatcher} from 'undici';
+import type {Connection, ConnectionPool} from './connection-pool.js';
+import type {HeaderFields} from './forwarded-headers.js';
+
+/** A request as it goes over one connection. */
+export type ExchangeRequest = {
+	readonly method: string;
+	/** Path and query. */
+	readonly target: string;
+	readonly headers: HeaderFields;
+	readonly body: Uint8Array | undefined;
+};
+
+/** Why an exchange gave no response. */
+export type ExchangeFailure = {
+	/** Whether bytes of the request may have reached the endpoint. */
+	readonly wasSent: boolean;
+	readonly reason: string;
+};
+
+/** Receives the rest of a body; the promise resolves when more may come. */
+export type WriteChunk = (chunk: Uint8Array) => Promise<void>;
+
+/** A response, with its body as far as it has been received. */
+export type ExchangeResponse = {
+	readonly status: number;
+	readonly headers: IncomingHttpHeaders;
+	/** Bytes of the body that have been received. */
+	readonly body: Buffer;
+	/** Whether the body is complete. */
+	readonly isComplete: boolean;
+	/**
+	 * Passes on the rest of a body that is not complete.
+	 *
+	 * @param write - Receives each chunk in turn.
+	 * @returns Whether the body was received to its end.
+	 */
+	readonly streamRest: (write: WriteChunk) => Promise<boolean>;
+};
+
+/** Options of {@link Exchange}. */
+export type ExchangeOptions = {
+	readonly pool: ConnectionPool;
+	readonly connection: Connection;
+	readonly request: ExchangeRequest;
+	/** Bytes of a body that are received before the response is handed over unfinished. */
+	readonly bufferBytes: number;
+	/** Whether the caller of the exchange gives the connection back itself; false by default. */
+	readonly keepsConnection?: boolean;
+};
+
+type ResponseHead = {readonly status: number; readonly headers: IncomingHttpHeaders};
+
+/** One request and its response over one connection. The connection returns to its pool when the response has ended. */
+export class Exchange {
+	/** Resolves with the response, complete or up to the buffer's size, or with the failure; never rejects. */
+	readonly result: Promise<Result<ExchangeResponse, ExchangeFailure>>;
+	readonly #options: ExchangeOptions;
+	readonly #chunks: Buffer[] = [];
+	#resolve: (result: Result<ExchangeResponse, ExchangeFailure>) => void = () => undefined;
+	#head: ResponseHead | undefined;
+	#wasSent = false;
+	#receivedBytes = 0;
+	#isHandedOver = false;
+	#isEnded = false;
+	#controller: Dispatcher.DispatchController | undefined;
+	#write: WriteChunk | undefined;
+	#pendingWrite: Promise<void> = Promise.resolve();
+	#endRest: (isWhole: boolean) => void = () => undefined;
+	/** Resolves when the body has ended, with whether it is whole. */
+	readonly #rest = new Promise<boolean>(resolve => {
+		this.#endRest = resolve;
+	});
+
+
+	constructor(options: ExchangeOptions) {
+		this.#options = options;
+		this.result = new Promise(resolve => {
+			this.#resolve = resolve;
+		});
+		this.#start();
+	}
+
+	/** Breaks the exchange off and closes its connection. */
+	abort(): void {
+		if (!this.#isEnded) {
+			this.#options.pool.drop(this.#options.connection);
+		}
+	}
+
+	/** Closes the connection also after the response has ended, because bytes of another one may follow. */
+	drop(): void {
+		this.#options.pool.drop(this.#options.connection);
+	}
+
+	#start(): void {
+		const {connection: {client}, request: {method, target, headers, body}} = this.#options;
+		client.dispatch({
+			method: method as Dispatcher.HttpMethod, path: target, headers, body: body ?? null,
+		}, {
+			onRequestStart: controller => {
+				this.#controller = controller;
+				this.#wasSent = true;
+			},
+			onResponseStart: (_, status, responseHeaders) => {
+				// Informational responses precede the final one.
+				if (status >= 200) {
+					this.#head = {status, headers: responseHeaders};
+				}
+			},
+			onResponseData: (_, chunk) => {
+				this.#receive(chunk);
+			},
+			onResponseEnd: () => {
+				this.#finish();
+			},
+			onResponseError: (_, error) => {
+				this.#fail(error);
+			},
+		});
+	}
+
+	#receive(chunk: Buffer): void {
+		this.#receivedBytes += chunk.length;
+		if (this.#write) {
+			this.#forward(chunk);
+			return;
+		}
+
+		this.#chunks.push(chunk);
+		if (this.#receivedBytes > this.#options.bufferBytes) {
+			this.#controller?.pause();
+			this.#handOver(false);
+		}
+	}
+
+	#forward(chunk: Buffer): void {
+		this.#controller?.pause();
+		this.#pendingWrite = this.#pendingWrite.then(async () => this.#write!(chunk)).then(() => {
+			this.#controller?.resume();
+		}, () => {
+			this.abort();
+		});
+	}
+
+	#finish(): void {
+		const {pool, connection, keepsConnection = false} = this.#options;
+		this.#isEnded = true;
+		if (this.#head?.headers.connection?.toLowerCase() === 'close') {
+			pool.drop(connection);
+		} else if (!keepsConnection) {
+			pool.release(connection);
+		}
+
+		this.#handOver(true);
+		this.#endRest(true);
+	}
+
+	#fail({message}: Error): void {
+		const {pool, connection} = this.#options;
+		this.#isEnded = true;
+		pool.drop(connection);
+		if (this.#isHandedOver) {
+			this.#endRest(false);
+			return;
+		}
+
+		this.#isHandedOver = true;
+		this.#resolve(err({wasSent: this.#wasSent, reason: message}));
+	}
+
+	#handOver(isComplete: boolean): void {
+		if (this.#isHandedOver) {
+			return;
+		}
+
+		this.#isHandedOver = true;
+		this.#resolve(ok({
+			...this.#head!, isComplete, body: Buffer.concat(this.#chunks.splice(0)), streamRest: async write => this.#streamRest(write),
+		}));
+	}
+
+	async #streamRest(write: WriteChunk): Promise<boolean> {
+		this.#write = write;
+		for (const chunk of this.#chunks.splice(0)) {
+			this.#forward(chunk);
+		}
+
+		this.#controller?.resume();
+		const isWhole = await this.#rest;
+		await this.#pendingWrite;
+		return isWhole;
+	}
+}
--- /dev/null
+++ b/packages/http/src/routed-attempts.ts
@@ -0,0 +1,424 @@
+import {err, ok, type Result} from 'neverthrow';
+import {Repetition, type PrefixRoute} from '@tanagerrail/configuration';
+import {createFailure, Outcome, type Failure} from '@tanagerrail/results';
+import type {DirectoryEndpoint, Selection, SelectionRefusal} from '@tanagerrail/routing';
+import {createLogger, LogLevel} from '@tanagerrail/telemetry';
+import {Exchange, type ExchangeResponse} from './exchange.js';
+import type {HeaderFields} from './forwarded-headers.js';
+import type {HeldConnection} from './probe-client.js';
+import type {RoutedContext} from './routed-context.js';
+
+const logger = createLogger('http');
+
+/** A request of a caller, received in full and matched to a route and a service. */
+export type RoutedRequest = {
+	/** Id of the caller's attempt. */
+	readonly id: string;
+	readonly method: string;
+	/** Path and query. */
+	readonly target: string;
+	/** Headers without those of one connection. */
+	readonly headers: HeaderFields;
+	readonly body: Uint8Array | undefined;
+	readonly route: PrefixRoute;
+	readonly service: string;
+	/** Revision of the route table that matched. */
+	readonly revision: number;
+	/** Monotonic time of arrival, of the end of the route's timeout and of the caller's patience, in milliseconds. */
+	readonly arrivedAt: number;
+	readonly timeoutAt: number;
+	/** Aborted when the caller is gone. */
+	readonly signal: AbortSignal;
+};
+
+/** A response of an endpoint that may be passed on. */
+export type RoutedResponse = {readonly response: ExchangeResponse; readonly endpoint: DirectoryEndpoint; readonly abort: () => void};
+
+/** How an attempt ended. */
+const AttemptEnd = {
+	/** A response to pass on. */
+	answered: 'answered',
+	/** A server error of the endpoint itself. */
+	failed: 'failed',
+	/** The request certainly did not run. */
+	notRun: 'not-run',
+	/** The request may have run, and there is no response to pass on. */
+	lost: 'lost',
+} as const;
+
+type AttemptEnd = typeof AttemptEnd[keyof typeof AttemptEnd];
+
+type EndedAttempt = {readonly end: AttemptEnd; readonly answer?: RoutedResponse; readonly failure: Failure};
+
+type RunningAttempt = {readonly exchange: Exchange; readonly endpoint: DirectoryEndpoint};
+
+type Wake =
+	| {readonly kind: 'ended'; readonly attempt: RunningAttempt; readonly ended: EndedAttempt}
+	| {readonly kind: 'refused'; readonly refusal: SelectionRefusal; readonly isSpeculative: boolean}
+	| {readonly kind: 'hedge' | 'timeout' | 'caller-gone' | 'resume'};
+
+/** Body bytes that are received before a response is passed on, so that one that breaks off can be repeated. */
+const bufferBytes = 1_048_576;
+
+/** Time after which a host that found all endpoints full looks again, in milliseconds. */
+const fullRetryMilliseconds = 25;
+
+/** Part of the latency objective for which a request waits for an endpoint that is not full. */
+const waitShare = 0.6;
+
+/** Part of the latency objective after which a second attempt starts at the earliest. */
+const earliestHedgeShare = 0.35;
+
+/** Part of the latency objective after which a second attempt starts, while no usual duration is known. */
+const usualHedgeShare = 0.5;
+
+/** Rating that the endpoint of a second attempt must reach, in usual durations of the work. */
+const worstHedgeRating = 2;
+
+/** Status from which a response is the endpoint's failure. */
+const firstServerError = 500;
+
+/** Sends one request to endpoints until one has answered, within the limits of its route. */
+export class RoutedAttempts {
+	readonly #request: RoutedRequest;
+	readonly #context: RoutedContext;
+	readonly #running = new Set<RunningAttempt>();
+	readonly #tried = new Set<string>();
+	readonly #timers = new Set<NodeJS.Timeout>();
+	readonly #wakes: Wake[] = [];
+	#resolveWake: (() => void) | undefined;
+	#sent = 0;
+	#mayHaveRun = false;
+	#isSelecting = false;
+	#last: EndedAttempt | undefined;
+
+	constructor(request: RoutedRequest, context: RoutedContext) {
+		this.#request = request;
+		this.#context = context;
+	}
+
+	/** Number of endpoints to which the request was sent. */
+	get sent(): number {
+		return this.#sent;
+	}
+
+	/**
+	 * Runs the attempts.
+	 *
+	 * @returns The response to pass on, or why there is none; `not-run` only if the request has not run and never will.
+	 */
+	async run(): Promise<Result<RoutedResponse, Failure>> {
+		const {clock} = this.#context;
+		const {timeoutAt, signal} = this.#request;
+		this.#schedule(timeoutAt - clock(), {kind: 'timeout'});
+		signal.addEventListener('abort', () => {
+			this.#notify({kind: 'caller-gone'});
+		}, {once: true});
+		if (signal.aborted) {
+			this.#notify({kind: 'caller-gone'});
+		}
+
+		this.#startAttempt(false);
+		for (;;) {
+			const result = this.#handle(await this.#waitWake());
+			if (result) {
+				this.#close();
+				return result;
+			}
+		}
+	}
+
+	#handle(wake: Wake): Result<RoutedResponse, Failure> | undefined {
+		switch (wake.kind) {
+			case 'ended': {
+				return this.#handleEnd(wake.attempt, wake.ended);
+			}
+
+			case 'refused': {
+				return wake.isSpeculative ? this.#handleNothingLeft() : this.#handleRefusal(wake.refusal);
+			}
+
+			case 'hedge': {
+				this.#startHedge();
+				return undefined;
+			}
+
+			case 'resume': {
+				this.#startAttempt(false);
+				return undefined;
+			}
+
+			case 'timeout': {
+				return err(this.#mayHaveRun || this.#running.size > 0
+					? createFailure('endpoint-timeout', {endpoint: [...this.#tried].join(',')})
+					: createFailure('no-free-slot', {service: this.#request.service}));
+			}
+
+			case 'caller-gone': {
+				return this.#handleCallerGone();
+			}
+		}
+	}
+
+	#handleEnd(attempt: RunningAttempt, ended: EndedAttempt): Result<RoutedResponse, Failure> | undefined {
+		this.#running.delete(attempt);
+		if (ended.end === AttemptEnd.answered) {
+			return ok(ended.answer!);
+		}
+
+		this.#mayHaveRun ||= ended.end !== AttemptEnd.notRun;
+		// The endpoint's own failure is worth more to the caller than one of this host.
+		this.#last = this.#last?.end === AttemptEnd.failed && ended.end !== AttemptEnd.failed ? this.#last : ended;
+		if (this.#running.size > 0 || this.#isSelecting) {
+			return undefined;
+		}
+
+		if (this.#canRepeat(ended)) {
+			this.#startAttempt(false);
+			return undefined;
+		}
+
+		return this.#conclude();
+	}
+
+	#canRepeat({end}: EndedAttempt): boolean {
+		const {route, service, timeoutAt, signal} = this.#request;
+		const isAllowed = end === AttemptEnd.notRun || route.repetition === Repetition.idempotent;
+		return isAllowed && !signal.aborted && this.#sent < route.maximumAttempts && this.#context.clock() < timeoutAt
+			&& this.#context.getBudget(service).take();
+	}
+
+	/** Looks again while the request can still be offered to an endpoint in time. */
+	#handleRefusal({kind, probes, milliseconds}: SelectionRefusal): Result<RoutedResponse, Failure> | undefined {
+		const {route, service, arrivedAt, id} = this.#request;
+		const waited = this.#context.clock() - arrivedAt;
+		logger.log(LogLevel.info, 'endpoint-missing', {
+			request: id, service, kind, probes, milliseconds: Math.round(milliseconds), waited: Math.round(waited),
+		});
+		if (waited < route.objectiveMilliseconds * waitShare) {
+			this.#schedule(fullRetryMilliseconds, {kind: 'resume'});
+			return undefined;
+		}
+
+		return this.#last ? this.#conclude() : err(createFailure(kind === 'none' ? 'no-endpoint' : 'no-free-slot', {service}));
+	}
+
+	#handleNothingLeft(): Result<RoutedResponse, Failure> | undefined {
+		if (this.#running.size > 0 || !this.#last) {
+			return undefined;
+		}
+
+		if (this.#canRepeat(this.#last)) {
+			this.#startAttempt(false);
+			return undefined;
+		}
+
+		return this.#conclude();
+	}
+
+	/** Work that may not be repeated goes on to its end, because breaking it off would leave it half done. */
+	#handleCallerGone(): Result<RoutedResponse, Failure> | undefined {
+		if (this.#request.route.repetition === Repetition.once && this.#running.size > 0) {
+			return undefined;
+		}
+
+		return err(createFailure('request-aborted'));
+	}
+
+	#conclude(): Result<RoutedResponse, Failure> {
+		const {answer, failure} = this.#last!;
+		if (answer) {
+			return ok(answer);
+		}
+
+		return err(this.#mayHaveRun && failure.outcome !== Outcome.unknown
+			? createFailure('endpoint-lost', {endpoint: [...this.#tried].join(',')})
+			: failure);
+	}
+
+	#startHedge(): void {
+		const {service, route} = this.#request;
+		const isAllowed = this.#running.size === 1 && !this.#isSelecting && this.#sent < route.maximumAttempts;
+		if (isAllowed && this.#context.getBudget(service).available >= 1) {
+			this.#startAttempt(true);
+		}
+	}
+
+	#startAttempt(isSpeculative: boolean): void {
+		this.#isSelecting = true;
+		void this.#selectEndpoint(isSpeculative);
+	}
+
+	async #selectEndpoint(isSpeculative: boolean): Promise<void> {
+		const {service, route} = this.#request;
+		const {selector, profiles, meter} = this.#context;
+		const selected = await selector.select({
+			service, excluded: this.#tried, responseBytes: profiles.get(route.name).bytes, ...(isSpeculative && {worstRating: worstHedgeRating}),
+		});
+		this.#isSelecting = false;
+		if ('kind' in selected) {
+			meter.countSelection(service, selected.kind, selected.probes);
+			this.#notify({kind: 'refused', refusal: selected, isSpeculative});
+			return;
+		}
+
+		meter.countSelection(service, 'chosen', selected.reason.probes);
+		const isUseless = this.#isClosed || (isSpeculative && (this.#running.size === 0 || !this.#context.getBudget(service).take()));
+		if (isUseless) {
+			selected.connection?.release();
+			this.#notify({kind: 'refused', refusal: {kind: 'slow', probes: 0, milliseconds: 0}, isSpeculative: true});
+			return;
+		}
+
+		await this.#send(selected);
+	}
+
+	async #send(selection: Selection<HeldConnection>): Promise<void> {
+		const {clock, connections, endpoints} = this.#context;
+		const {id, method, target, headers, body, timeoutAt} = this.#request;
+		const {endpoint, record, connection: held} = selection;
+		const startedAt = clock();
+		this.#logChoice(selection);
+		this.#tried.add(endpoint.id);
+		this.#sent += 1;
+		const pool = held?.pool ?? connections.get(endpoint.address);
+		const exchange = new Exchange({
+			pool,
+			connection: held?.connection ?? pool.open(),
+			bufferBytes,
+			request: {
+				method,
+				target,
+				body,
+				headers: endpoints.buildHeaders({
+					id, headers, endpoint, remainingMilliseconds: timeoutAt - startedAt,
+				}),
+			},
+		});
+		const attempt: RunningAttempt = {exchange, endpoint};
+		this.#running.add(attempt);
+		record.startRequest();
+		this.#scheduleHedge(startedAt);
+		const ended = await this.#readEnd(attempt, startedAt);
+		record.endRequest();
+		if (this.#running.has(attempt)) {
+			this.#recordEnd(selection, ended, clock() - startedAt);
+			this.#notify({kind: 'ended', attempt, ended});
+		}
+	}
+
+	async #readEnd({exchange, endpoint}: RunningAttempt, startedAt: number): Promise<EndedAttempt> {
+		const parameters = {endpoint: endpoint.id};
+		const result = await exchange.result;
+		if (result.isErr()) {
+			return result.error.wasSent
+				? {end: AttemptEnd.lost, failure: createFailure('endpoint-lost', parameters)}
+				: {end: AttemptEnd.notRun, failure: createFailure('endpoint-unreachable', parameters)};
+		}
+
+		const response = result.value;
+		const {endpoints, selector, profiles, clock} = this.#context;
+		const marks = endpoints.readResponse(response.status, response.headers);
+		if (marks.report) {
+			selector.getRecord(endpoint).updateReport(marks.report, clock());
+		}
+
+		if (marks.isNotRun) {
+			return {end: AttemptEnd.notRun, failure: createFailure('endpoint-refused', parameters)};
+		}
+
+		const isSuccess = response.status < 300;
+		// A response to another request, or one that something between has changed, is not passed on.
+		if ((marks.requestId !== this.#request.id && (isSuccess || marks.requestId !== undefined)) || (isSuccess && !marks.isGenuine)) {
+			exchange.drop();
+			return {end: AttemptEnd.lost, failure: createFailure('answer-incomplete', parameters)};
+		}
+
+		if (isSuccess && response.isComplete) {
+			profiles.record(this.#request.route.name, clock() - startedAt, response.body.length);
+		}
+
+		const answer = {response, endpoint, abort: () => {
+			exchange.abort();
+		}};
+		return response.status >= firstServerError
+			? {end: AttemptEnd.failed, answer, failure: createFailure('endpoint-lost', parameters)}
+			: {end: AttemptEnd.answered, answer, failure: createFailure('endpoint-lost', parameters)};
+	}
+
+	#recordEnd({endpoint, record}: Selection<HeldConnection>, {end, failure}: EndedAttempt, milliseconds: number): void {
+		const {clock, meter} = this.#context;
+		const {id, service} = this.#request;
+		meter.countAttempt(service, end, milliseconds);
+		if (end === AttemptEnd.answered) {
+			record.recordSuccess();
+			return;
+		}
+
+		record.recordFailure(clock());
+		logger.log(LogLevel.info, 'attempt-failed', {
+			request: id, endpoint: endpoint.id, end, failure: failure.id, milliseconds: Math.round(milliseconds), failureShare: record.failureShare,
+		});
+	}
+
+	#logChoice({endpoint, reason}: Selection<HeldConnection>): void {
+		const {id, service, revision, timeoutAt} = this.#request;
+		const {rating, report, probes, milliseconds, isLastResort} = reason;
+		logger.log(LogLevel.info, 'endpoint-chosen', {
+			request: id, service, revision, endpoint: endpoint.id, attempt: this.#sent + 1, rating: Number(rating.toFixed(2)), report,
+			probes, selectionMilliseconds: Math.round(milliseconds), remaining: Math.round(timeoutAt - this.#context.clock()), ...(isLastResort && {isLastResort}),
+		});
+	}
+
+	/** A second attempt has to start early enough to end within the objective. */
+	#scheduleHedge(startedAt: number): void {
+		const {route, arrivedAt} = this.#request;
+		if (route.repetition !== Repetition.idempotent || this.#sent > 1) {
+			return;
+		}
+
+		const {objectiveMilliseconds: objective} = route;
+		const usual = this.#context.profiles.get(route.name).milliseconds;
+		const delay = usual === undefined ? objective * usualHedgeShare : Math.max(objective * earliestHedgeShare, objective - (1.2 * usual));
+		this.#schedule(arrivedAt + delay - startedAt, {kind: 'hedge'});
+	}
+
+	#schedule(milliseconds: number, wake: Wake): void {
+		const timer = setTimeout(() => {
+			this.#timers.delete(timer);
+			this.#notify(wake);
+		}, Math.max(0, milliseconds));
+		this.#timers.add(timer);
+	}
+
+	async #waitWake(): Promise<Wake> {
+		while (this.#wakes.length === 0) {
+			await new Promise<void>(resolve => {
+				this.#resolveWake = resolve;
+			});
+		}
+
+		return this.#wakes.shift()!;
+	}
+
+	#notify(wake: Wake): void {
+		this.#wakes.push(wake);
+		this.#resolveWake?.();
+	}
+
+	#isClosed = false;
+
+	/** Cancels what is still running; endpoints drop a request when its connection closes. */
+	#close(): void {
+		this.#isClosed = true;
+		for (const timer of this.#timers) {
+			clearTimeout(timer);
+		}
+
+		for (const {exchange} of this.#running) {
+			exchange.abort();
+		}
+
+		this.#running.clear();
+	}
+}
--- /dev/null
+++ b/packages/http/src/routed-context.ts
@@ -0,0 +1,32 @@
+import type {RouteIndex, TrafficSplitter} from '@tanagerrail/configuration';
+import type {AttemptBudget, EndpointSelector} from '@tanagerrail/routing';
+import type {Clock} from '@tanagerrail/telemetry';
+import type {EndpointConnections} from './endpoint-connections.js';
+import type {CallerProtocol, EndpointProtocol} from './endpoint-protocol.js';
+import type {HeldConnection} from './probe-client.js';
+import type {ServiceProfiles} from './service-profiles.js';
+
+/** Counters and histograms of the request path. */
+export type RequestMeter = {
+	countRequest(route: string, status: number, milliseconds: number): void;
+	countAttempt(service: string, outcome: string, milliseconds: number): void;
+	countSelection(service: string, outcome: string, probes: number): void;
+};
+
+/** What the path of requests by host name and prefix works with. */
+export type RoutedContext = {
+	readonly clock: Clock;
+	readonly callers: CallerProtocol;
+	readonly endpoints: EndpointProtocol;
+	readonly connections: EndpointConnections;
+	readonly selector: EndpointSelector<HeldConnection>;
+	readonly splitter: TrafficSplitter;
+	readonly profiles: ServiceProfiles;
+	readonly meter: RequestMeter;
+	/** The route table in force; nothing before the host knows one. */
+	getRoutes(): RouteIndex | undefined;
+	/** Whether the endpoints are known. */
+	isReady(): boolean;
+	/** Budget for attempts beyond the first at a service. */
+	getBudget(service: string): AttemptBudget;
+};
--- /dev/null
+++ b/packages/http/src/routed-receiver.ts
@@ -0,0 +1,134 @@
+import {randomUUID} from 'node:crypto';
+import {once} from 'node:events';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {err, ok, type Result} from 'neverthrow';
+import {createFailure, resultCodes, type Failure} from '@tanagerrail/results';
+import {createLogger, LogLevel} from '@tanagerrail/telemetry';
+import {stripHopByHop} from './forwarded-headers.js';
+import {readBody} from './read-body.js';
+import type {Arrival, RequestReceiver} from './request-receiver.js';
+import {RoutedAttempts, type RoutedRequest, type RoutedResponse} from './routed-attempts.js';
+import type {RoutedContext} from './routed-context.js';
+
+const logger = createLogger('http');
+
+/** Pause after which a caller that was refused should come back, in milliseconds. */
+const retryAfterMilliseconds = 80;
+
+/** Receives requests that are routed by host name and path prefix. */
+export class RoutedReceiver implements RequestReceiver<RoutedRequest> {
+	readonly #context: RoutedContext;
+
+	constructor(context: RoutedContext) {
+		this.#context = context;
+	}
+
+	readId(req: IncomingMessage): string {
+		return this.#context.callers.readRequest(req.headers).id ?? randomUUID();
+	}
+
+	async receive(req: IncomingMessage, res: ServerResponse, {arrivedAt}: Arrival): Promise<Result<RoutedRequest, Failure>> {
+		const {getRoutes, callers, splitter, isReady} = this.#context;
+		const routes = getRoutes();
+		if (!routes || !isReady()) {
+			return err(createFailure('not-ready'));
+		}
+
+		const method = req.method ?? 'GET';
+		const target = req.url ?? '/';
+		const [path = '/'] = target.split('?', 1);
+		const controller = new AbortController();
+		res.once('close', () => {
+			if (!res.writableFinished) {
+				controller.abort();
+			}
+		});
+		const body = await readBody(req, routes.table.limits.bodyBytes);
+		if (body.isErr()) {
+			return err(body.error);
+		}
+
+		// The table in force when the request is complete decides, because a long body may outlast a change.
+		const index = getRoutes() ?? routes;
+		const route = index.findRoute(req.headers.host ?? '', path);
+		if (!route) {
+			return err(createFailure('route-unknown', {method, path}));
+		}
+
+		const {id, waitMilliseconds = Infinity} = callers.readRequest(req.headers);
+		return ok({
+			id: id ?? randomUUID(),
+			method,
+			target,
+			headers: stripHopByHop(req.headers),
+			body: body.value,
+			route,
+			service: splitter.chooseService(route),
+			revision: index.table.revision,
+			arrivedAt,
+			timeoutAt: arrivedAt + Math.min(route.timeoutMilliseconds, waitMilliseconds),
+			signal: controller.signal,
+		});
+	}
+
+	async serve(request: RoutedRequest, res: ServerResponse, beforeHead: () => void): Promise<Result<void, Failure>> {
+		const {getBudget, clock, meter} = this.#context;
+		getBudget(request.service).addRequest();
+		const attempts = new RoutedAttempts(request, this.#context);
+		const answered = await attempts.run();
+		const served = answered.isOk() ? await this.#passOn(request, answered.value, res, beforeHead) : err(answered.error);
+		const milliseconds = clock() - request.arrivedAt;
+		const status = served.isErr() ? resultCodes[served.error.id].status : served.value;
+		meter.countRequest(request.route.name, status, milliseconds);
+		logger.log(served.isErr() || status >= 500 ? LogLevel.warn : LogLevel.info, 'request-finished', {
+			request: request.id, route: request.route.name, service: request.service, revision: request.revision, status, milliseconds: Math.round(milliseconds),
+			attempts: attempts.sent, ...(served.isErr() && {failure: served.error.id, outcome: served.error.outcome ?? resultCodes[served.error.id].outcome}),
+			...(answered.isOk() && {endpoint: answered.value.endpoint.id}),
+		});
+		return served.map(() => undefined);
+	}
+
+	buildRefusalHeaders({id}: Failure): Record<string, string> {
+		const {status} = resultCodes[id];
+		return status === 503 || status === 429 ? {'retry-after': String(retryAfterMilliseconds / 1000)} : {};
+	}
+
+	countRefusal({id}: Failure): void {
+		this.#context.meter.countRequest('none', resultCodes[id].status, 0);
+	}
+
+	/** Passes a response on; a body that breaks off breaks the caller's connection, so that it never looks complete. */
+	async #passOn(request: RoutedRequest, {response, endpoint, abort}: RoutedResponse, res: ServerResponse, beforeHead: () => void): Promise<Result<number, Failure>> {
+		const {status, headers, body, isComplete, streamRest} = response;
+		if (res.destroyed) {
+			abort();
+			return err(createFailure('request-aborted'));
+		}
+
+		beforeHead();
+		const hasOwnLength = isComplete && request.method !== 'HEAD' && status !== 204 && status !== 304;
+		res.writeHead(status, {...stripHopByHop(headers), ...(hasOwnLength && {'content-length': String(body.length)})});
+		if (isComplete) {
+			res.end(body);
+			return ok(status);
+		}
+
+		res.write(body);
+		const isWhole = await streamRest(async chunk => {
+			if (!res.write(chunk) && !res.destroyed) {
+				await Promise.race([once(res, 'drain'), once(res, 'close')]);
+			}
+
+			if (res.destroyed) {
+				abort();
+			}
+		});
+		if (!isWhole) {
+			res.destroy();
+			return err(createFailure('answer-incomplete', {endpoint: endpoint.id}));
+		}
+
+		res.end();
+		return ok(status);
+	}
+}
--- a/packages/http/tests/caller-listener.test.ts
+++ b/packages/http/tests/caller-listener.test.ts
@@ -9,7 +9,7 @@
 import {createFailure} from '@tanagerrail/results';
 import {RetryBudget} from '@tanagerrail/routing';
 import {createMetrics, readMonotonicClock} from '@tanagerrail/telemetry';
-import {CallerListener} from '../src/caller-listener.js';
+import {createServiceListener} from '../src/create-service-listener.js';
 import {EndpointConnections} from '../src/endpoint-connections.js';
 import {defaultRequestLimits, type RequestLimits} from '../src/request-limits.js';
 import {createDraw, generateMalformed} from './fixtures/generate-malformed.js';
@@ -33,7 +33,7 @@
 /** Starts a listener whose requests are counted and refused where they would ask for a slot. */
 async function startListener(t: Test, limits: Partial<RequestLimits>, holdMilliseconds = 0) {
 	const reached: string[] = [];
-	const listener = new CallerListener({
+	const listener = createServiceListener({
 		limits: {...defaultRequestLimits, ...limits},
 		context: {
 			hostId: 'h',
--- a/packages/http/tests/serve-idempotent.test.ts
+++ b/packages/http/tests/serve-idempotent.test.ts
@@ -10,7 +10,7 @@
 } from '@tanagerrail/stand-ins';
 import {createMetrics, readMonotonicClock as clock} from '@tanagerrail/telemetry';
 import {AttemptPolicies} from '../src/attempt-policies.js';
-import {CallerListener} from '../src/caller-listener.js';
+import {createServiceListener} from '../src/create-service-listener.js';
 import {EndpointConnections} from '../src/endpoint-connections.js';
 
 const configuration: Configuration = {
@@ -47,7 +47,7 @@
 		clock, connections: 10, connectTimeout: 250, idleTimeout: 10_000,
 	});
 
-	#listener: CallerListener | undefined;
+	#listener: ReturnType<typeof createServiceListener> | undefined;
 	#origin = '';
 
 	get runs(): number {
@@ -71,7 +71,7 @@
 			},
 		};
 		const policies = new AttemptPolicies({getConfiguration: () => configuration});
-		this.#listener = new CallerListener({
+		this.#listener = createServiceListener({
 			context: {
 				hostId: 'a',
 				clock,
--- a/packages/http/tests/serve-keyed.test.ts
+++ b/packages/http/tests/serve-keyed.test.ts
@@ -11,7 +11,7 @@
 	durationHeader, lengthHeader, StandInEndpoint, StandInObjectStore, StandInTable, type EndpointFaults,
 } from '@tanagerrail/stand-ins';
 import {createMetrics, listViolations, readMonotonicClock as clock} from '@tanagerrail/telemetry';
-import {CallerListener} from '../src/caller-listener.js';
+import {createServiceListener} from '../src/create-service-listener.js';
 import {EndpointConnections} from '../src/endpoint-connections.js';
 
 const configuration: Configuration = {
@@ -69,7 +69,7 @@
 				clock, connections: 10, connectTimeout: 250, idleTimeout: 1000,
 			});
 			const budget = new RetryBudget({ratio: 1});
-			const listener = new CallerListener({
+			const listener = createServiceListener({
 				context: {
 					hostId, clock, slots, connections, claims, metrics: createMetrics(), getConfiguration: () => configuration, getRetryBudget: () => budget, record: () => undefined,
 				},
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,3 +1,6 @@
 export * from './host-directory.js';
 export * from './pause-detector.js';
 export * from './rank-hosts.js';
+export * from './endpoint-follower.js';
+export type * from './platform-sources.js';
+export * from './route-follower.js';
--- /dev/null
+++ b/packages/membership/src/route-follower.ts
@@ -0,0 +1,120 @@
+import {setTimeout as wait} from 'node:timers/promises';
+import {RouteIndex, type RouteTable} from '@tanagerrail/configuration';
+import type {Failure} from '@tanagerrail/results';
+import {createLogger, LogLevel, type Clock} from '@tanagerrail/telemetry';
+import type {RouteRevision, RouteSource} from './platform-sources.js';
+
+const logger = createLogger('membership');
+
+/** Options of {@link RouteFollower}. */
+export type RouteFollowerOptions = {
+	readonly source: RouteSource;
+	readonly clock: Clock;
+	/** Called when a newer configuration is in force. */
+	readonly onApplied: (table: RouteTable) => void;
+	/** Longest wait of one call for a change, in milliseconds. */
+	readonly waitMilliseconds: number;
+	/** First pause after a failed call, in milliseconds; doubled up to the longest. */
+	readonly retryMilliseconds: number;
+	readonly maximumRetryMilliseconds: number;
+};
+
+/** Defaults of {@link RouteFollowerOptions}. */
+export const defaultRouteFollowerOptions = {waitMilliseconds: 12_000, retryMilliseconds: 250, maximumRetryMilliseconds: 1000};
+
+/** Keeps the newest configuration of routes in force; an older one never replaces it. */
+export class RouteFollower {
+	readonly #options: RouteFollowerOptions;
+	#index: RouteIndex | undefined;
+	#isStopped = false;
+	#isConnected = true;
+	#waiting: AbortController | undefined;
+	#newestReadAt = -Infinity;
+
+	constructor(options: Partial<RouteFollowerOptions> & Pick<RouteFollowerOptions, 'source' | 'clock' | 'onApplied'>) {
+		this.#options = {...defaultRouteFollowerOptions, ...options};
+	}
+
+	/** The configuration in force. */
+	get current(): RouteIndex | undefined {
+		return this.#index;
+	}
+
+	/** Time since the source last answered, in milliseconds. */
+	get age(): number {
+		return this.#options.clock() - this.#newestReadAt;
+	}
+
+	/** Follows the source until the follower is stopped. */
+	async run(): Promise<void> {
+		const {source, waitMilliseconds, retryMilliseconds, maximumRetryMilliseconds} = this.#options;
+		let cursor: number | undefined;
+		let pause = retryMilliseconds;
+		while (!this.#isStopped) {
+			this.#waiting = new AbortController();
+			const {signal} = this.#waiting;
+			const result = cursor === undefined
+				? await source.readRoutes()
+				: await source.waitRoutes(cursor, {waitMilliseconds, signal});
+			if (result.isOk()) {
+				pause = retryMilliseconds;
+				cursor = result.value.cursor;
+				this.#take(result.value);
+				continue;
+			}
+
+			// After a failure the whole configuration is read, because changes may have been missed.
+			cursor = undefined;
+			if (signal.aborted) {
+				continue;
+			}
+
+			this.#handleFailure(result.error);
+			await wait(result.error.id === 'table-history-lost' ? 0 : pause);
+			pause = Math.min(maximumRetryMilliseconds, pause * 2);
+		}
+	}
+
+	/** Reads the configuration anew, because the connection of the waiting call may be lost. */
+	refresh(): void {
+		this.#waiting?.abort();
+	}
+
+	/** Stops following. */
+	stop(): void {
+		this.#isStopped = true;
+		this.#waiting?.abort();
+	}
+
+	#take({table}: RouteRevision): void {
+		this.#newestReadAt = this.#options.clock();
+		if (!this.#isConnected) {
+			this.#isConnected = true;
+			logger.log(LogLevel.info, 'dependency-regained', {dependency: 'configuration'});
+		}
+
+		table?.match(value => {
+			this.#apply(value);
+		}, failure => {
+			logger.logFailure(LogLevel.error, 'configuration-invalid', failure, {revision: this.#index?.table.revision});
+		});
+	}
+
+	#apply(table: RouteTable): void {
+		const former = this.#index?.table.revision;
+		if (former !== undefined && table.revision <= former) {
+			return;
+		}
+
+		this.#index = new RouteIndex(table);
+		logger.log(LogLevel.info, 'configuration-applied', {revision: table.revision, former, routes: table.routes.length});
+		this.#options.onApplied(table);
+	}
+
+	#handleFailure(failure: Failure): void {
+		if (this.#isConnected) {
+			this.#isConnected = false;
+			logger.logFailure(LogLevel.warn, 'dependency-lost', failure, {dependency: 'configuration', revision: this.#index?.table.revision});
+		}
+	}
+}
--- a/packages/results/src/result-codes.ts
+++ b/packages/results/src/result-codes.ts
@@ -146,6 +146,12 @@
 	'snapshot-malformed': {
 		number: 6008, status: 500, outcome: Outcome.unknown, message: 'Snapshot {key} of service-level counts cannot be decoded: {reason}.',
 	},
+	'table-history-lost': {
+		number: 6009, status: 410, outcome: Outcome.notRun, message: 'The store no longer has the changes after the given version.',
+	},
+	'configuration-malformed': {
+		number: 5008, status: 400, outcome: Outcome.notRun, message: 'The configuration cannot be decoded: {reason}.',
+	},
 	'settings-invalid': {
 		number: 7001, status: 400, outcome: Outcome.notRun, message: '{file}:{line}: {field}: found {found}, expected {expected}.',
 	},
--- /dev/null
+++ b/packages/routing/src/endpoint-selector.ts
@@ -0,0 +1,342 @@
+import type {Clock} from '@tanagerrail/telemetry';
+import type {DirectoryEndpoint} from './endpoint-directory.js';
+import {EndpointRecord, type EndpointReport} from './endpoint-record.js';
+import {isFull, rateEndpoint} from './rate-endpoint.js';
+
+/** What a probe found. */
+export const ProbeVerdict = {
+	/** The endpoint answered and takes work. */
+	healthy: 'healthy',
+	/** The endpoint answered that it takes no work. */
+	unhealthy: 'unhealthy',
+	/** Another endpoint answered at its address. */
+	replaced: 'replaced',
+	/** No answer. */
+	unreachable: 'unreachable',
+} as const;
+
+/** One of the verdicts of a probe. */
+export type ProbeVerdict = typeof ProbeVerdict[keyof typeof ProbeVerdict];
+
+/** A connection that has just carried an answer of the endpoint. */
+export type ProbedConnection = {
+	/** Gives the connection back unused. */
+	release(): void;
+};
+
+/** Answer to one probe. */
+export type ProbeAnswer<C extends ProbedConnection> = {
+	readonly verdict: ProbeVerdict;
+	/** Load and speed, where the endpoint tells them. */
+	readonly report: EndpointReport | undefined;
+	/** The connection that carried the answer, kept for the request; nothing when it cannot be used again. */
+	readonly connection: C | undefined;
+};
+
+/** Asks one endpoint for its health and load. */
+export type SendProbe<C extends ProbedConnection> = (endpoint: DirectoryEndpoint) => Promise<ProbeAnswer<C>>;
+
+/** What a request needs. */
+export type SelectionRequest = {
+	readonly service: string;
+	/** Endpoints that must not be chosen. */
+	readonly excluded: ReadonlySet<string>;
+	/** Usual size of the response in bytes; large ones stay in the own failure domain. */
+	readonly responseBytes: number;
+	/** Rating above which the selection gives up; used by attempts that are not necessary. */
+	readonly worstRating?: number;
+};
+
+/** Why an endpoint was chosen. */
+export type SelectionReason = {
+	readonly rating: number;
+	readonly report: EndpointReport | undefined;
+	/** Number of probes sent for the selection. */
+	readonly probes: number;
+	/** Time that the selection took, in milliseconds. */
+	readonly milliseconds: number;
+	readonly isLastResort: boolean;
+};
+
+/** The chosen endpoint. */
+export type Selection<C extends ProbedConnection> = {
+	readonly endpoint: DirectoryEndpoint;
+	readonly record: EndpointRecord;
+	readonly connection: C | undefined;
+	readonly reason: SelectionReason;
+};
+
+/** Why no endpoint was chosen. */
+export type SelectionRefusal = {
+	readonly kind: 'none' | 'full' | 'slow';
+	readonly probes: number;
+	readonly milliseconds: number;
+};
+
+/** Options of {@link EndpointSelector}. */
+export type EndpointSelectorOptions<C extends ProbedConnection> = {
+	readonly clock: Clock;
+	/** Failure domain of this host. */
+	readonly failureDomain: string;
+	readonly listEndpoints: (service: string) => readonly DirectoryEndpoint[];
+	readonly sendProbe: SendProbe<C>;
+	/** Whether one more probe is within the measuring budget. */
+	readonly takeProbe: (service: string) => boolean;
+	/** Returns a random number from 0 to below 1. */
+	readonly draw: () => number;
+	/** Probes sent at once in the own failure domain. */
+	readonly nearBatch: number;
+	/** Probes sent at once in other failure domains. */
+	readonly farBatch: number;
+	/** Probes for one selection at most. */
+	readonly maximumProbes: number;
+	/** Time after which the answers that have arrived decide, in milliseconds. */
+	readonly probeMilliseconds: number;
+	/** An endpoint rated as well as this is taken without asking others, in usual durations of the work. */
+	readonly goodRating: number;
+	/** Cost of another failure domain, in usual durations of the work. */
+	readonly domainCost: number;
+	/** Response bytes from another failure domain that cost as much as one usual duration of the work. */
+	readonly bytesPerDuration: number;
+};
+
+/** Defaults of {@link EndpointSelectorOptions}. */
+export const defaultEndpointSelectorOptions = {
+	draw: Math.random,
+	nearBatch: 2,
+	farBatch: 2,
+	maximumProbes: 8,
+	probeMilliseconds: 40,
+	goodRating: 1.4,
+	domainCost: 0.3,
+	bytesPerDuration: 20_000,
+};
+
+/** Age up to which a report says something about the endpoint's speed, in milliseconds. */
+const usefulReportAge = 250;
+
+type Candidate<C extends ProbedConnection> = {
+	readonly endpoint: DirectoryEndpoint;
+	readonly record: EndpointRecord;
+	readonly connection: C | undefined;
+	readonly rating: number;
+	readonly isFull: boolean;
+	readonly isHealthy: boolean;
+};
+
+/**
+ * Chooses endpoints by asking a few of them immediately before a request is sent, because their load and speed change
+ * many times a second. Endpoints of the own failure domain are asked first; others only when those are slow or full.
+ */
+export class EndpointSelector<C extends ProbedConnection> {
+	readonly #options: EndpointSelectorOptions<C>;
+	readonly #records = new Map<string, {startedAt: number; record: EndpointRecord}>();
+
+	constructor(options: Partial<EndpointSelectorOptions<C>> & Omit<EndpointSelectorOptions<C>, keyof typeof defaultEndpointSelectorOptions>) {
+		this.#options = {...defaultEndpointSelectorOptions, ...options};
+	}
+
+	/**
+	 * Returns what this host has seen of an endpoint.
+	 *
+	 * @param endpoint - The endpoint; a new start of it begins with an empty record.
+	 * @returns The record.
+	 */
+	getRecord({id, startedAt}: Pick<DirectoryEndpoint, 'id' | 'startedAt'>): EndpointRecord {
+		const known = this.#records.get(id);
+		if (known?.startedAt === startedAt) {
+			return known.record;
+		}
+
+		const record = new EndpointRecord();
+		this.#records.set(id, {startedAt, record});
+		return record;
+	}
+
+	/**
+	 * Drops the records of endpoints that no longer exist.
+	 *
+	 * @param ids - Endpoints that exist.
+	 */
+	dropOthers(ids: ReadonlySet<string>): void {
+		for (const id of this.#records.keys()) {
+			if (!ids.has(id)) {
+				this.#records.delete(id);
+			}
+		}
+	}
+
+	/**
+	 * Chooses an endpoint.
+	 *
+	 * @param request - What the endpoint is for.
+	 * @returns The endpoint with a connection to it, or why there is none.
+	 */
+	async select(request: SelectionRequest): Promise<Selection<C> | SelectionRefusal> {
+		const {clock, maximumProbes, nearBatch, farBatch, goodRating} = this.#options;
+		const startedAt = clock();
+		const [near, far] = this.#rank(request);
+		const candidates: Array<Candidate<C>> = [];
+		let probes = 0;
+		for (const batch of [...splitBatches(near, nearBatch), ...splitBatches(far, farBatch)]) {
+			const isFar = far.includes(batch[0]!);
+			const best = findBest(candidates);
+			const target = isFar ? goodRating + this.#getDistance(batch[0]!, request) : goodRating;
+			if ((best && best.rating <= target) || probes >= maximumProbes) {
+				break;
+			}
+
+			const allowed = batch.filter(() => this.#options.takeProbe(request.service));
+			if (allowed.length === 0) {
+				break;
+			}
+
+			probes += allowed.length;
+			candidates.push(...await this.#probeAll(allowed, request));
+		}
+
+		return this.#conclude(candidates, {
+			request, probes, milliseconds: clock() - startedAt, endpoints: [...near, ...far],
+		});
+	}
+
+	/** Sorts the endpoints of the own failure domain and the others, the most promising first. */
+	#rank({service, excluded}: SelectionRequest): [near: DirectoryEndpoint[], far: DirectoryEndpoint[]] {
+		const {clock, draw, failureDomain} = this.#options;
+		const now = clock();
+		const scores = new Map<string, number>();
+		const endpoints = this.#options.listEndpoints(service).filter(({id}) => !excluded.has(id));
+		for (const endpoint of endpoints) {
+			const record = this.getRecord(endpoint);
+			const isUseful = now - record.reportedAt < usefulReportAge;
+			const slowness = isUseful && record.report ? record.report.slowness : 1.3;
+			const coldness = now < endpoint.coldUntil ? 1 : 0;
+			scores.set(endpoint.id, slowness + coldness + (record.inFlight / endpoint.slots) + (record.failureShare * 4) + (record.isAvoided(now) ? 100 : 0) + (draw() * 0.5));
+		}
+
+		endpoints.sort((a, b) => scores.get(a.id)! - scores.get(b.id)!);
+		return [endpoints.filter(endpoint => endpoint.failureDomain === failureDomain), endpoints.filter(endpoint => endpoint.failureDomain !== failureDomain)];
+	}
+
+	#getDistance({failureDomain}: DirectoryEndpoint, {responseBytes}: SelectionRequest): number {
+		const {domainCost, bytesPerDuration} = this.#options;
+		return failureDomain === this.#options.failureDomain ? 0 : domainCost + (responseBytes / bytesPerDuration);
+	}
+
+	/** Asks endpoints side by side; an answer that comes too late gives its connection back. */
+	async #probeAll(endpoints: readonly DirectoryEndpoint[], request: SelectionRequest): Promise<Array<Candidate<C>>> {
+		const {probeMilliseconds} = this.#options;
+		const candidates: Array<Candidate<C>> = [];
+		let isOpen = true;
+		const probes = endpoints.map(async endpoint => {
+			const candidate = await this.#probe(endpoint, request);
+			if (!isOpen) {
+				candidate?.connection?.release();
+			} else if (candidate) {
+				candidates.push(candidate);
+			}
+		});
+		let timer: NodeJS.Timeout | undefined;
+		const timeout = new Promise<void>(resolve => {
+			// After a pause of the process, answers that lie ready are read first.
+			timer = setTimeout(() => {
+				setImmediate(resolve);
+			}, probeMilliseconds);
+		});
+		await Promise.race([Promise.all(probes), timeout]);
+		clearTimeout(timer);
+		isOpen = false;
+		return candidates;
+	}
+
+	async #probe(endpoint: DirectoryEndpoint, request: SelectionRequest): Promise<Candidate<C> | undefined> {
+		const {clock, sendProbe} = this.#options;
+		const {verdict, report, connection} = await sendProbe(endpoint);
+		const record = this.getRecord(endpoint);
+		const now = clock();
+		if (report) {
+			record.updateReport(report, now);
+		}
+
+		if (verdict === ProbeVerdict.unreachable || verdict === ProbeVerdict.replaced) {
+			record.recordFailure(now);
+			connection?.release();
+			return undefined;
+		}
+
+		const rating = this.#rate(endpoint, request);
+		return {
+			endpoint, record, connection, rating,
+			isFull: isFull({report: record.report ?? this.#assumeReport(endpoint), sentSinceReport: record.sentSinceReport}),
+			isHealthy: verdict === ProbeVerdict.healthy,
+		};
+	}
+
+	#rate(endpoint: DirectoryEndpoint, request: SelectionRequest): number {
+		const now = this.#options.clock();
+		const record = this.getRecord(endpoint);
+		return rateEndpoint({
+			report: record.report ?? this.#assumeReport(endpoint),
+			sentSinceReport: record.sentSinceReport,
+			isCold: now < endpoint.coldUntil,
+			failureShare: record.failureShare + (record.isAvoided(now) ? 1 : 0),
+			distance: this.#getDistance(endpoint, request),
+		});
+	}
+
+	/** Endpoints that do not tell their load are judged by what this host has running there. */
+	#assumeReport(endpoint: DirectoryEndpoint): EndpointReport {
+		return {
+			running: this.getRecord(endpoint).inFlight, waiting: 0, slots: endpoint.slots, slowness: 1,
+		};
+	}
+
+	#conclude(candidates: Array<Candidate<C>>, found: {request: SelectionRequest; probes: number; milliseconds: number; endpoints: readonly DirectoryEndpoint[]}): Selection<C> | SelectionRefusal {
+		const {request, probes, milliseconds, endpoints} = found;
+		const healthy = findBest(candidates);
+		const lastResort = candidates.find(candidate => !candidate.isHealthy && !candidate.isFull);
+		const chosen = healthy ?? lastResort;
+		for (const candidate of candidates) {
+			if (candidate !== chosen) {
+				candidate.connection?.release();
+			}
+		}
+
+		if (chosen && chosen.rating <= (request.worstRating ?? Infinity)) {
+			const {endpoint, record, connection, rating} = chosen;
+			return {
+				endpoint, record, connection,
+				reason: {
+					rating, report: record.report, probes, milliseconds, isLastResort: chosen !== healthy,
+				},
+			};
+		}
+
+		chosen?.connection?.release();
+		if (chosen) {
+			return {kind: 'slow', probes, milliseconds};
+		}
+
+		return {kind: candidates.some(candidate => candidate.isFull) || endpoints.length > 0 ? 'full' : 'none', probes, milliseconds};
+	}
+}
+
+function findBest<C extends ProbedConnection>(candidates: ReadonlyArray<Candidate<C>>): Candidate<C> | undefined {
+	let best: Candidate<C> | undefined;
+	for (const candidate of candidates) {
+		if (candidate.isHealthy && !candidate.isFull && (!best || candidate.rating < best.rating)) {
+			best = candidate;
+		}
+	}
+
+	return best;
+}
+
+function splitBatches<T>(items: readonly T[], size: number): T[][] {
+	const batches: T[][] = [];
+	for (let index = 0; index < items.length; index += size) {
+		batches.push(items.slice(index, index + size));
+	}
+
+	return batches;
+}
--- a/packages/telemetry/src/logger.ts
+++ b/packages/telemetry/src/logger.ts
@@ -14,7 +14,7 @@
 /** Fields of a log line; never a body, credential or key. */
 export type LogFields = Readonly<Record<string, unknown>>;
 
-/** Writes JSON lines to standard error. */
+/** Writes JSON lines. */
 export type Logger = {
 	log(level: LogLevel, id: LogMessageId, fields?: LogFields): void;
 	/** Logs a failure with its result code. */
@@ -24,6 +24,23 @@
 const namespaceRoot = 'tanagerrail';
 let commonFields: LogFields = {};
 
+/** Takes one log line; must not block. */
+export type LogSink = (line: string, level: LogLevel) => void;
+
+/** Commands keep standard output for their results, so their log lines go to standard error. */
+let writeLine: LogSink = line => {
+	process.stderr.write(line);
+};
+
+/**
+ * Sets where the log lines of this process go.
+ *
+ * @param sink - Takes each line with its line end.
+ */
+export function setLogSink(sink: LogSink): void {
+	writeLine = sink;
+}
+
 /**
  * Sets the fields that every log line of this process carries.
  *
@@ -59,7 +76,7 @@
 			const line = {
 				time: new Date().toISOString(), level, component, ...commonFields, event: id, message: logMessages[id], ...fields,
 			};
-			process.stderr.write(`${JSON.stringify(line)}\n`);
+			writeLine(`${JSON.stringify(line)}\n`, level);
 		},
 		logFailure(level, id, failure, fields = {}) {
 			logger.log(level, id, {...fields, code: resultCodes[failure.id].number, detail: formatFailure(failure)});
