fix(http): count responses until they are flushed and take no reset for the end of a body

Change: requests count until Node.js has closed their response; callers that leave are noticed by their connection, since waiting responses are not told; the way a connection ends is noted before undici sees it. Stand-ins for the platform's store and servers; the edge host's tests run against them over real connections.

--- a/packages/cli/src/commands/edge.ts
+++ b/packages/cli/src/commands/edge.ts
@@ -57,11 +57,10 @@
 	}));
 	const host = new EdgeHost(loaded.value);
 	watchSettings(file, host);
-	process.once('SIGTERM', () => {
-		void host.stop().then(() => {
-			// Everything that was read has been answered; connections that are still open end with the process.
-			process.exit(0);
-		});
+	process.once('SIGTERM', async () => {
+		await host.stop();
+		// Everything that was read has been answered; connections that are still open end with the process.
+		process.exit(0);
 	});
 	await host.start();
 	return [];
--- a/packages/cli/src/edge-host.ts
+++ b/packages/cli/src/edge-host.ts
@@ -136,12 +136,14 @@
 		}
 
 		logger.log(LogLevel.info, 'host-stopped', {cutOff: this.#listener.inProgress, milliseconds: Math.round(clock() - startedAt)});
-		this.#close();
+		this.close();
 	}
 
-	#close(): void {
+	/** Ends all work at once. */
+	close(): void {
 		this.#routes.stop();
 		this.#endpoints.stop();
+		this.#listener.stop();
 		this.#listener.abort();
 		this.#readinessServer.close();
 		this.#metricsServer.close();
@@ -244,16 +246,11 @@
 	}
 
 	#serveMetrics(): RequestListener {
-		return (req, res) => {
-			void this.#renderMetrics().then(text => {
-				res.writeHead(200, {'content-type': this.#metrics.contentType}).end(text);
-			});
+		return async (_, res) => {
+			const text = await this.#metrics.render();
+			res.writeHead(200, {'content-type': this.#metrics.contentType}).end(text);
 		};
 	}
-
-	async #renderMetrics(): Promise<string> {
-		return this.#metrics.render();
-	}
 }
 
 function parseAddress(address: string): {host: string; port: number} {
--- /dev/null
+++ b/packages/cli/tests/edge-host.test.ts
@@ -0,0 +1,263 @@
+import {once} from 'node:events';
+import net from 'node:net';
+import {setTimeout as wait} from 'node:timers/promises';
+import {test} from 'tap';
+import {createSlowBehaviour, routedBehaviours, type RoutedBehaviour} from '@tanagerrail/stand-ins';
+import {
+	buildConfiguration, sendRequest, standardRoutes, startEdge, waitFor,
+} from './fixtures/edge-fixture.js';
+
+test('a request reaches an endpoint of its service unchanged, with the time that is left', async t => {
+	const {send, endpoints} = await startEdge(t);
+	const response = await send({path: '/payments/7?x=1', method: 'POST', id: 'p-1', body: 'amount=5', deadline: 700});
+	t.match(response, {status: 200, body: 'ran /payments/7?x=1'});
+	t.equal(response.headers['x-server-seal'], '1.2.3');
+	const [run] = endpoints.payments!.flatMap(({runs}) => runs);
+	t.match(run, {id: 'p-1', method: 'POST', target: '/payments/7?x=1', body: 'amount=5'});
+	t.ok(run!.deadlineMilliseconds <= 700, 'endpoints are not handed more time than the caller waits');
+});
+
+test('routes are matched by host name and longest prefix', async t => {
+	const {send, endpoints} = await startEdge(t, {
+		routes: [...standardRoutes, {path_prefix: '/reads/special/', service: 'payments'}, {hostname: 'other.example', path_prefix: '/reads/', service: 'payments'}],
+	});
+	t.equal((await send({path: '/none/1'})).status, 404);
+	t.equal((await send({host: 'unknown.example'})).status, 404);
+	await send({path: '/reads/special/1'});
+	await send({host: 'OTHER.example:80', path: '/reads/2'});
+	t.equal(endpoints.payments!.flatMap(({runs}) => runs).length, 2);
+	t.equal(endpoints.reads!.flatMap(({runs}) => runs).length, 0);
+});
+
+/** Faults of one endpoint of two; a read is repeated at the other one. */
+const repeatedFaults: Readonly<Record<string, RoutedBehaviour>> = {
+	'a refusal': routedBehaviours.shed,
+	'a lost response': routedBehaviours.reset,
+	'a server error': routedBehaviours.fail,
+	'a response to another request': routedBehaviours.mix,
+	'a success without a seal': routedBehaviours.forge,
+	'a body without a length that is reset': routedBehaviours.cutUnframed,
+	'a chunked body that breaks off': routedBehaviours.cutChunked,
+	'no response': routedBehaviours.hang,
+};
+
+for (const [name, behaviour] of Object.entries(repeatedFaults)) {
+	test(`a read gets a whole response although one endpoint gives ${name}`, async t => {
+		const {send, endpoints} = await startEdge(t);
+		endpoints.reads![0]!.behaviour = behaviour;
+		for (let index = 0; index < 6; index++) {
+			const response = await send({path: `/reads/${index}`});
+			t.match(response, {status: 200, body: `ran /reads/${index}`});
+		}
+	});
+}
+
+test('work that must not repeat is sent once more only after a refusal', async t => {
+	const {send, endpoints} = await startEdge(t);
+	for (const endpoint of endpoints.payments!) {
+		endpoint.behaviour = routedBehaviours.reset;
+	}
+
+	const lost = await send({path: '/payments/1', method: 'POST', id: 'once'});
+	t.equal(lost.status, 502);
+	t.equal(lost.headers['tanagerrail-outcome'], 'unknown');
+	t.equal(endpoints.payments!.flatMap(({runs}) => runs).length, 1, 'a lost response may mean that the payment ran');
+
+	endpoints.payments![0]!.behaviour = routedBehaviours.shed;
+	endpoints.payments![1]!.behaviour = routedBehaviours.serve;
+	await wait(600);
+	for (let index = 0; index < 4; index++) {
+		t.equal((await send({path: '/payments/2', method: 'POST'})).status, 200);
+	}
+});
+
+test('a refusal that all endpoints give is passed on as not run, with the time to come back', async t => {
+	const {send, endpoints} = await startEdge(t);
+	for (const endpoint of endpoints.payments!) {
+		endpoint.behaviour = routedBehaviours.shed;
+	}
+
+	const response = await send({path: '/payments/1', method: 'POST'});
+	t.equal(response.status, 503);
+	t.equal(response.headers['tanagerrail-outcome'], 'not-run');
+	t.ok(Number(response.headers['retry-after']) > 0);
+	t.ok(endpoints.payments!.flatMap(({runs}) => runs).length <= 2, 'a route allows two endpoints for each request');
+});
+
+test('responses without a length that end with their connection are whole', async t => {
+	const {send, endpoints} = await startEdge(t);
+	for (const endpoint of endpoints.reads!) {
+		endpoint.behaviour = routedBehaviours.serveUnframed;
+	}
+
+	t.match(await send({}), {status: 200, body: 'whole'});
+});
+
+test('a late response of an endpoint never answers the next request', async t => {
+	const {send, endpoints} = await startEdge(t);
+	for (let index = 0; index < 20; index++) {
+		for (const endpoint of endpoints.reads!) {
+			endpoint.behaviour = index % 2 === 0 ? routedBehaviours.serveTwice : routedBehaviours.serve;
+		}
+
+		const response = await send({path: `/reads/${index}`});
+		t.match(response, {status: 200, body: index % 2 === 0 ? 'first' : `ran /reads/${index}`});
+		await wait(index % 3 === 0 ? 0 : 8);
+	}
+});
+
+test('the server that has taken over an address gets no request', async t => {
+	const {send, endpoints} = await startEdge(t);
+	endpoints.payments![0]!.healthId = 'another-service-1';
+	for (let index = 0; index < 5; index++) {
+		t.equal((await send({path: '/payments/1', method: 'POST'})).status, 200);
+	}
+
+	t.equal(endpoints.payments![0]!.runs.length, 0);
+});
+
+test('slow endpoints are avoided while others are fast', async t => {
+	const {send, endpoints} = await startEdge(t, {services: {reads: 3, payments: 1}});
+	endpoints.reads![0]!.pace = 400;
+	endpoints.reads![1]!.pace = 400;
+	for (let index = 0; index < 12; index++) {
+		await send({path: `/reads/${index}`});
+	}
+
+	t.equal(endpoints.reads![2]!.runs.length, 12);
+});
+
+test('a request has its final answer when the timeout of its route is over', async t => {
+	const {send, endpoints} = await startEdge(t, {routes: [{...standardRoutes[1], timeout_ms: 300}]});
+	for (const endpoint of endpoints.payments!) {
+		endpoint.behaviour = routedBehaviours.hang;
+	}
+
+	const startedAt = Date.now();
+	const response = await send({path: '/payments/1', method: 'POST'});
+	t.equal(response.status, 504);
+	t.ok(Date.now() - startedAt < 600, 'half a second after the timeout is too late');
+});
+
+test('a read is cancelled at its endpoint when its caller has gone, also behind another request', async t => {
+	const {endpoints, settings} = await startEdge(t);
+	for (const endpoint of endpoints.reads!) {
+		endpoint.behaviour = routedBehaviours.hang;
+	}
+
+	const socket = openSocket(settings.listen.callers);
+	socket.write(buildHead('/reads/1', 'gone-1') + buildHead('/reads/2', 'gone-2'));
+	await waitFor(() => endpoints.reads!.flatMap(({runs}) => runs).length >= 2);
+	socket.destroy();
+	await waitFor(() => endpoints.reads!.flatMap(({runs}) => runs).every(({isCancelled}) => isCancelled), 500);
+});
+
+test('pipelined requests are answered in their order', async t => {
+	const {endpoints, settings} = await startEdge(t);
+	for (const endpoint of endpoints.reads!) {
+		endpoint.behaviour = (run, res, socket) => {
+			createSlowBehaviour(run.target.endsWith('1') ? 150 : 1)(run, res, socket);
+		};
+	}
+
+	const text = await exchangeText(settings.listen.callers, [1, 2, 3].map(index => buildHead(`/reads/${index}`, `pipe-${index}`)).join(''), 3);
+	t.same([...text.matchAll(/ran \/reads\/(\d)/gv)].map(([, index]) => index), ['1', '2', '3']);
+});
+
+test('a configuration replaces older ones only', async t => {
+	const {send, store, endpoints} = await startEdge(t);
+	store.put('op', 'config', buildConfiguration(5, [{path_prefix: '/reads/', service: 'payments'}]));
+	await waitFor(async () => (await send({path: '/reads/1'})).status === 200 && endpoints.payments!.some(({runs}) => runs.length > 0));
+	store.put('op', 'config', buildConfiguration(4, standardRoutes));
+	await wait(100);
+	const before = endpoints.reads!.flatMap(({runs}) => runs).length;
+	await send({path: '/reads/2'});
+	t.equal(endpoints.reads!.flatMap(({runs}) => runs).length, before);
+	store.put('op', 'config', '{"version":"r9","routes":');
+	await wait(100);
+	t.equal((await send({path: '/reads/3'})).status, 200, 'a configuration that cannot be read leaves the former one in force');
+});
+
+for (const fault of ['silent', 'busy', 'reset'] as const) {
+	test(`configurations and endpoints are current again after the store was ${fault}`, async t => {
+		const {send, store, endpoints} = await startEdge(t);
+		store.fault = fault;
+		store.dropConnections();
+		await wait(1500);
+		t.equal((await send({})).status, 200, 'what is known stays in use');
+		store.put('op', 'config', buildConfiguration(7, [{path_prefix: '/new/', service: 'reads'}]));
+		store.put('servers', 'reads-0', endpoints.reads![0]!.buildEntry('reads', {state: 'draining', sequence: 9}));
+		store.fault = undefined;
+		await waitFor(async () => (await send({path: '/new/1'})).status === 200, 3000);
+		await wait(1500);
+		const before = endpoints.reads![0]!.runs.length;
+		for (let index = 0; index < 5; index++) {
+			await send({path: '/new/1'});
+		}
+
+		t.equal(endpoints.reads![0]!.runs.length, before, 'a leaving endpoint gets no new work');
+	});
+}
+
+test('entries of another writer name no endpoint and harm no other', async t => {
+	const {send, store} = await startEdge(t);
+	store.put('servers', 'forged-1', 'no json');
+	store.put('servers', 'forged-2', {address: 7, information: {}, status: {}});
+	store.put('servers', 'forged-3', {address: '127.0.0.1:1', information: {service: 'reads', zone: 'zone-a', slots: 'many'}, status: {state: 'ready', sequence: 1}});
+	await wait(1300);
+	for (let index = 0; index < 4; index++) {
+		t.equal((await send({})).status, 200);
+	}
+});
+
+test('a graceful shutdown answers everything that was read, also behind other requests', async t => {
+	const {host, endpoints, settings} = await startEdge(t);
+	for (const endpoint of endpoints.reads!) {
+		endpoint.behaviour = createSlowBehaviour(300);
+	}
+
+	const kept = openSocket(settings.listen.callers);
+	const answers: string[] = [];
+	kept.on('data', chunk => {
+		answers.push(String(chunk));
+	});
+	const stopped = host.stop();
+	t.equal((await sendRequest(settings.listen.readiness, {path: '/ready'}, false)).status, 503);
+	await wait(2100);
+	kept.write(buildHead('/reads/1', 'late-1') + buildHead('/reads/2', 'late-2'));
+	await stopped;
+	await wait(50);
+	t.equal([...answers.join('').matchAll(/ran \/reads/gv)].length, 2, 'a request that was passed on is answered');
+});
+
+test('counters and histograms are served as text', async t => {
+	const {send, settings} = await startEdge(t);
+	await send({});
+	const {status, body} = await sendRequest(settings.listen.metrics, {path: '/metrics'}, false);
+	t.equal(status, 200);
+	t.match(body, /tanagerrail_requests_total\{route="route-0",status="200"\} 1/v);
+	t.match(body, /tanagerrail_request_duration_milliseconds_bucket/v);
+});
+
+function openSocket(address: string): net.Socket {
+	const [host, port] = address.split(':');
+	return net.connect({host: host!, port: Number(port)});
+}
+
+function buildHead(path: string, id: string): string {
+	return `GET ${path} HTTP/1.1\r\nhost: site.example\r\nx-attempt-id: ${id}\r\nx-deadline-ms: 5000\r\n\r\n`;
+}
+
+/** Sends text and returns what has come back once it holds a number of responses. */
+async function exchangeText(address: string, text: string, responses: number): Promise<string> {
+	const socket = openSocket(address);
+	let received = '';
+	socket.write(text);
+	while (received.split('ran ').length <= responses) {
+		const [chunk] = await once(socket, 'data') as [Uint8Array];
+		received += String(chunk);
+	}
+
+	socket.destroy();
+	return received;
+}
--- a/packages/configuration/src/route-index.ts
+++ b/packages/configuration/src/route-index.ts
@@ -2,12 +2,10 @@
 
 /** Finds the routes of a table by host name and path. */
 export class RouteIndex {
-	readonly table: RouteTable;
 	readonly #routes = new Map<string, PrefixRoute[]>();
 	readonly #services: ReadonlyMap<string, RoutedService>;
 
-	constructor(table: RouteTable) {
-		this.table = table;
+	constructor(readonly table: RouteTable) {
 		this.#services = new Map(table.services.map(service => [service.name, service]));
 		for (const route of table.routes) {
 			const routes = this.#routes.get(route.hostname) ?? [];
--- a/packages/http/src/caller-listener.ts
+++ b/packages/http/src/caller-listener.ts
@@ -28,7 +28,7 @@
 
 /** Requests on one connection. */
 type ConnectionUse = {
-	inProgress: number;
+	readonly requests: Set<AbortController>;
 	/** Those that may run at an endpoint. */
 	dispatched: number;
 	/** Whether the connection was refused, so that no further request may run. */
@@ -68,7 +68,7 @@
 		});
 	}
 
-	/** Requests that have not been answered in full. */
+	/** Requests whose responses have not been handed to their connections in full. */
 	get inProgress(): number {
 		return this.#inProgress;
 	}
@@ -127,21 +127,17 @@
 			return;
 		}
 
-		this.#inProgress += 1;
-		use.inProgress += 1;
-		res.once('close', () => {
-			use.inProgress -= 1;
-		});
+		const controller = this.#trackRequest(use, res);
 		const beforeHead = () => {
 			// Responses that are due after this one would be lost with the connection.
-			if (this.#isDraining && use.inProgress === 1) {
+			if (this.#isDraining && use.requests.size === 1) {
 				use.isClosing = true;
 				res.setHeader('connection', 'close');
 			}
 		};
 
 		try {
-			const received = await receiver.receive(req, res, {arrivedAt, connectionRequests: use.inProgress});
+			const received = await receiver.receive(req, res, {arrivedAt, connectionRequests: use.requests.size, signal: controller.signal});
 			if (received.isErr()) {
 				receiver.countRefusal(received.error);
 				this.#refuse(res, received.error, {id, beforeHead});
@@ -165,11 +161,31 @@
 		} catch (error) {
 			logger.log(LogLevel.error, 'internal-error', {request: id, reason: String(error)});
 			this.#refuse(res, createFailure('internal-error', {reason: 'see the log'}), {id, beforeHead});
-		} finally {
-			this.#inProgress -= 1;
-			if (this.#isStopped) {
-				this.#server.closeIdleConnections();
+		}
+	}
+
+	/** Counts a request until its response has been handed to the connection, behind those of earlier requests. */
+	#trackRequest(use: ConnectionUse, res: ServerResponse): AbortController {
+		const controller = new AbortController();
+		this.#inProgress += 1;
+		use.requests.add(controller);
+		res.once('close', () => {
+			this.#endRequest(use, controller);
+			if (!res.writableFinished) {
+				controller.abort();
 			}
+		});
+		return controller;
+	}
+
+	#endRequest(use: ConnectionUse, controller: AbortController): void {
+		if (!use.requests.delete(controller)) {
+			return;
+		}
+
+		this.#inProgress -= 1;
+		if (this.#isStopped) {
+			this.#server.closeIdleConnections();
 		}
 	}
 
@@ -197,8 +213,17 @@
 			return known;
 		}
 
-		const use = {inProgress: 0, dispatched: 0, isRefused: false, isClosing: false};
+		const use: ConnectionUse = {
+			requests: new Set(), dispatched: 0, isRefused: false, isClosing: false,
+		};
 		this.#uses.set(socket, use);
+		// Responses that wait behind an earlier one are not told by Node.js that their connection is closed.
+		socket.once('close', () => {
+			for (const controller of use.requests) {
+				this.#endRequest(use, controller);
+				controller.abort();
+			}
+		});
 		return use;
 	}
 
@@ -206,7 +231,7 @@
 	#refuseConnection({code = ''}: NodeJS.ErrnoException, socket: Socket): void {
 		const use = this.#getUse(socket);
 		use.isRefused = true;
-		if (code === 'ECONNRESET' || !socket.writable || use.dispatched > 0 || use.inProgress > 1) {
+		if (code === 'ECONNRESET' || !socket.writable || use.dispatched > 0 || use.requests.size > 1) {
 			socket.destroy();
 			return;
 		}
--- a/packages/http/src/connection-pool.ts
+++ b/packages/http/src/connection-pool.ts
@@ -1,4 +1,5 @@
-import {Client} from 'undici';
+import type {Socket} from 'node:net';
+import {buildConnector, Client} from 'undici';
 import type {Clock} from '@tanagerrail/telemetry';
 
 /** Options of {@link ConnectionPool}. */
@@ -22,6 +23,8 @@
 	readonly client: Client;
 	/** Monotonic time of the last byte received; the time of opening for a new one. */
 	lastByteAt: number;
+	/** How the endpoint ended the connection: in order, or by a reset; nothing while it is open. */
+	ending: 'ended' | 'reset' | undefined;
 };
 
 /** Connections to one endpoint, the most recently used first, so that stale ones are not touched. */
@@ -71,10 +74,25 @@
 	 */
 	open(): Connection {
 		const {address, connectTimeout, idleTimeout, clock} = this.#options;
+		const connectSocket = buildConnector({timeout: connectTimeout});
 		const client = new Client(`http://${address}`, {
-			pipelining: 1, connect: {timeout: connectTimeout}, keepAliveTimeout: idleTimeout, keepAliveMaxTimeout: idleTimeout, headersTimeout: 0, bodyTimeout: 0,
+			pipelining: 1,
+			connect(options, onConnected) {
+				connectSocket(options, (...result) => {
+					const [, socket] = result;
+					if (socket) {
+						watchEnding(socket, connection);
+					}
+
+					onConnected(...result);
+				});
+			},
+			keepAliveTimeout: idleTimeout,
+			keepAliveMaxTimeout: idleTimeout,
+			headersTimeout: 0,
+			bodyTimeout: 0,
 		});
-		const connection: Connection = {client, lastByteAt: clock()};
+		const connection: Connection = {client, lastByteAt: clock(), ending: undefined};
 		// A client would open a new connection by itself; a pool member stands for one connection only.
 		client.on('disconnect', () => {
 			this.#remove(connection);
@@ -143,3 +161,13 @@
 		}
 	}
 }
+
+/** Undici takes a response without a length as complete however its connection ends, so the way it ends is noted first. */
+function watchEnding(socket: Socket, connection: Connection): void {
+	socket.once('error', () => {
+		connection.ending = 'reset';
+	});
+	socket.once('end', () => {
+		connection.ending ??= 'ended';
+	});
+}
--- a/packages/http/src/exchange.ts
+++ b/packages/http/src/exchange.ts
@@ -74,7 +74,6 @@
 		this.#endRest = resolve;
 	});
 
-
 	constructor(options: ExchangeOptions) {
 		this.#options = options;
 		this.result = new Promise(resolve => {
@@ -98,7 +97,7 @@
 	#start(): void {
 		const {connection: {client}, request: {method, target, headers, body}} = this.#options;
 		client.dispatch({
-			method: method as Dispatcher.HttpMethod, path: target, headers, body: body ?? null,
+			method, path: target, headers, body: body ?? null,
 		}, {
 			onRequestStart: controller => {
 				this.#controller = controller;
@@ -138,15 +137,28 @@
 
 	#forward(chunk: Buffer): void {
 		this.#controller?.pause();
-		this.#pendingWrite = this.#pendingWrite.then(async () => this.#write!(chunk)).then(() => {
-			this.#controller?.resume();
-		}, () => {
+		this.#pendingWrite = this.#writeAfter(this.#pendingWrite, chunk);
+	}
+
+	async #writeAfter(previous: Promise<void>, chunk: Buffer): Promise<void> {
+		await previous;
+		try {
+			await this.#write!(chunk);
+		} catch {
+			// The receiver of the body is gone.
 			this.abort();
-		});
+		}
+
+		this.#controller?.resume();
 	}
 
 	#finish(): void {
 		const {pool, connection, keepsConnection = false} = this.#options;
+		if (isCutShort(this.#head!, connection)) {
+			this.#fail(new Error('the connection ended before the response'));
+			return;
+		}
+
 		this.#isEnded = true;
 		if (this.#head?.headers.connection?.toLowerCase() === 'close') {
 			pool.drop(connection);
@@ -194,3 +206,8 @@
 		return isWhole;
 	}
 }
+
+/** A response that ends with its connection is complete only if it has no length of its own and the end is no reset. */
+function isCutShort({headers}: ResponseHead, {ending}: Connection): boolean {
+	return ending === 'reset' || (ending === 'ended' && headers['transfer-encoding'] !== undefined);
+}
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -16,4 +16,4 @@
 export type * from './routed-context.js';
 export type {CallerRequest} from './caller-request.js';
 export type {HeaderFields} from './forwarded-headers.js';
-export type {RoutedRequest} from './routed-attempts.js';
+export type * from './routed-request.js';
--- a/packages/http/src/probe-client.ts
+++ b/packages/http/src/probe-client.ts
@@ -53,7 +53,7 @@
 	async #askKept(endpoint: DirectoryEndpoint, pool: ConnectionPool, connection: Connection): Promise<ProbeAnswer<HeldConnection> | undefined> {
 		const silentSince = connection.lastByteAt;
 		const asked = this.#ask(endpoint, pool, connection);
-		const answer = await raceSilence(asked, this.#options.silenceMilliseconds);
+		const answer = await waitAnswer(asked, this.#options.silenceMilliseconds);
 		if (answer !== silence) {
 			return answer;
 		}
@@ -90,9 +90,7 @@
 			return undefined;
 		}
 
-		const held = isKept(headers) ? {pool, connection, release: () => {
-			pool.release(connection);
-		}} : undefined;
+		const held = isKept(headers) ? acquireHold(pool, connection) : undefined;
 		if (!held) {
 			pool.drop(connection);
 		}
@@ -105,6 +103,16 @@
 	}
 }
 
+function acquireHold(pool: ConnectionPool, connection: Connection): HeldConnection {
+	return {
+		pool,
+		connection,
+		release() {
+			pool.release(connection);
+		},
+	};
+}
+
 function isKept({connection}: IncomingHttpHeaders): boolean {
 	return connection?.toLowerCase() !== 'close';
 }
@@ -112,7 +120,7 @@
 const silence = Symbol('silence');
 
 /** Waits for an answer; after a pause of the process, answers that lie ready are read before silence is concluded. */
-async function raceSilence<T>(answer: Promise<T>, milliseconds: number): Promise<T | typeof silence> {
+async function waitAnswer<T>(answer: Promise<T>, milliseconds: number): Promise<T | typeof silence> {
 	let timer: NodeJS.Timeout | undefined;
 	const silent = new Promise<typeof silence>(resolve => {
 		timer = setTimeout(() => {
--- a/packages/http/src/request-receiver.ts
+++ b/packages/http/src/request-receiver.ts
@@ -8,6 +8,8 @@
 	readonly arrivedAt: number;
 	/** Requests in progress on the caller's connection, this one included. */
 	readonly connectionRequests: number;
+	/** Aborted when the caller is gone before its response is complete. */
+	readonly signal: AbortSignal;
 };
 
 /** A request that was received in full. */
--- a/packages/http/src/routed-attempts.ts
+++ b/packages/http/src/routed-attempts.ts
@@ -1,55 +1,16 @@
 import {err, ok, type Result} from 'neverthrow';
-import {Repetition, type PrefixRoute} from '@tanagerrail/configuration';
+import {Repetition} from '@tanagerrail/configuration';
 import {createFailure, Outcome, type Failure} from '@tanagerrail/results';
 import type {DirectoryEndpoint, Selection, SelectionRefusal} from '@tanagerrail/routing';
 import {createLogger, LogLevel} from '@tanagerrail/telemetry';
-import {Exchange, type ExchangeResponse} from './exchange.js';
-import type {HeaderFields} from './forwarded-headers.js';
+import {Exchange} from './exchange.js';
 import type {HeldConnection} from './probe-client.js';
+import {AttemptEnd, readAttemptEnd, type EndedAttempt} from './read-attempt-end.js';
 import type {RoutedContext} from './routed-context.js';
+import type {RoutedRequest, RoutedResponse} from './routed-request.js';
 
 const logger = createLogger('http');
 
-/** A request of a caller, received in full and matched to a route and a service. */
-export type RoutedRequest = {
-	/** Id of the caller's attempt. */
-	readonly id: string;
-	readonly method: string;
-	/** Path and query. */
-	readonly target: string;
-	/** Headers without those of one connection. */
-	readonly headers: HeaderFields;
-	readonly body: Uint8Array | undefined;
-	readonly route: PrefixRoute;
-	readonly service: string;
-	/** Revision of the route table that matched. */
-	readonly revision: number;
-	/** Monotonic time of arrival, of the end of the route's timeout and of the caller's patience, in milliseconds. */
-	readonly arrivedAt: number;
-	readonly timeoutAt: number;
-	/** Aborted when the caller is gone. */
-	readonly signal: AbortSignal;
-};
-
-/** A response of an endpoint that may be passed on. */
-export type RoutedResponse = {readonly response: ExchangeResponse; readonly endpoint: DirectoryEndpoint; readonly abort: () => void};
-
-/** How an attempt ended. */
-const AttemptEnd = {
-	/** A response to pass on. */
-	answered: 'answered',
-	/** A server error of the endpoint itself. */
-	failed: 'failed',
-	/** The request certainly did not run. */
-	notRun: 'not-run',
-	/** The request may have run, and there is no response to pass on. */
-	lost: 'lost',
-} as const;
-
-type AttemptEnd = typeof AttemptEnd[keyof typeof AttemptEnd];
-
-type EndedAttempt = {readonly end: AttemptEnd; readonly answer?: RoutedResponse; readonly failure: Failure};
-
 type RunningAttempt = {readonly exchange: Exchange; readonly endpoint: DirectoryEndpoint};
 
 type Wake =
@@ -75,9 +36,6 @@
 /** Rating that the endpoint of a second attempt must reach, in usual durations of the work. */
 const worstHedgeRating = 2;
 
-/** Status from which a response is the endpoint's failure. */
-const firstServerError = 500;
-
 /** Sends one request to endpoints until one has answered, within the limits of its route. */
 export class RoutedAttempts {
 	readonly #request: RoutedRequest;
@@ -90,6 +48,7 @@
 	#sent = 0;
 	#mayHaveRun = false;
 	#isSelecting = false;
+	#isClosed = false;
 	#last: EndedAttempt | undefined;
 
 	constructor(request: RoutedRequest, context: RoutedContext) {
@@ -299,7 +258,9 @@
 		this.#running.add(attempt);
 		record.startRequest();
 		this.#scheduleHedge(startedAt);
-		const ended = await this.#readEnd(attempt, startedAt);
+		const ended = await readAttemptEnd({
+			exchange, endpoint, request: this.#request, context: this.#context, startedAt,
+		});
 		record.endRequest();
 		if (this.#running.has(attempt)) {
 			this.#recordEnd(selection, ended, clock() - startedAt);
@@ -307,45 +268,6 @@
 		}
 	}
 
-	async #readEnd({exchange, endpoint}: RunningAttempt, startedAt: number): Promise<EndedAttempt> {
-		const parameters = {endpoint: endpoint.id};
-		const result = await exchange.result;
-		if (result.isErr()) {
-			return result.error.wasSent
-				? {end: AttemptEnd.lost, failure: createFailure('endpoint-lost', parameters)}
-				: {end: AttemptEnd.notRun, failure: createFailure('endpoint-unreachable', parameters)};
-		}
-
-		const response = result.value;
-		const {endpoints, selector, profiles, clock} = this.#context;
-		const marks = endpoints.readResponse(response.status, response.headers);
-		if (marks.report) {
-			selector.getRecord(endpoint).updateReport(marks.report, clock());
-		}
-
-		if (marks.isNotRun) {
-			return {end: AttemptEnd.notRun, failure: createFailure('endpoint-refused', parameters)};
-		}
-
-		const isSuccess = response.status < 300;
-		// A response to another request, or one that something between has changed, is not passed on.
-		if ((marks.requestId !== this.#request.id && (isSuccess || marks.requestId !== undefined)) || (isSuccess && !marks.isGenuine)) {
-			exchange.drop();
-			return {end: AttemptEnd.lost, failure: createFailure('answer-incomplete', parameters)};
-		}
-
-		if (isSuccess && response.isComplete) {
-			profiles.record(this.#request.route.name, clock() - startedAt, response.body.length);
-		}
-
-		const answer = {response, endpoint, abort: () => {
-			exchange.abort();
-		}};
-		return response.status >= firstServerError
-			? {end: AttemptEnd.failed, answer, failure: createFailure('endpoint-lost', parameters)}
-			: {end: AttemptEnd.answered, answer, failure: createFailure('endpoint-lost', parameters)};
-	}
-
 	#recordEnd({endpoint, record}: Selection<HeldConnection>, {end, failure}: EndedAttempt, milliseconds: number): void {
 		const {clock, meter} = this.#context;
 		const {id, service} = this.#request;
@@ -406,8 +328,6 @@
 		this.#resolveWake?.();
 	}
 
-	#isClosed = false;
-
 	/** Cancels what is still running; endpoints drop a request when its connection closes. */
 	#close(): void {
 		this.#isClosed = true;
--- a/packages/http/src/routed-receiver.ts
+++ b/packages/http/src/routed-receiver.ts
@@ -7,8 +7,9 @@
 import {stripHopByHop} from './forwarded-headers.js';
 import {readBody} from './read-body.js';
 import type {Arrival, RequestReceiver} from './request-receiver.js';
-import {RoutedAttempts, type RoutedRequest, type RoutedResponse} from './routed-attempts.js';
+import {RoutedAttempts} from './routed-attempts.js';
 import type {RoutedContext} from './routed-context.js';
+import type {RoutedRequest, RoutedResponse} from './routed-request.js';
 
 const logger = createLogger('http');
 
@@ -27,7 +28,7 @@
 		return this.#context.callers.readRequest(req.headers).id ?? randomUUID();
 	}
 
-	async receive(req: IncomingMessage, res: ServerResponse, {arrivedAt}: Arrival): Promise<Result<RoutedRequest, Failure>> {
+	async receive(req: IncomingMessage, _: ServerResponse, {arrivedAt, signal}: Arrival): Promise<Result<RoutedRequest, Failure>> {
 		const {getRoutes, callers, splitter, isReady} = this.#context;
 		const routes = getRoutes();
 		if (!routes || !isReady()) {
@@ -37,12 +38,6 @@
 		const method = req.method ?? 'GET';
 		const target = req.url ?? '/';
 		const [path = '/'] = target.split('?', 1);
-		const controller = new AbortController();
-		res.once('close', () => {
-			if (!res.writableFinished) {
-				controller.abort();
-			}
-		});
 		const body = await readBody(req, routes.table.limits.bodyBytes);
 		if (body.isErr()) {
 			return err(body.error);
@@ -67,7 +62,7 @@
 			revision: index.table.revision,
 			arrivedAt,
 			timeoutAt: arrivedAt + Math.min(route.timeoutMilliseconds, waitMilliseconds),
-			signal: controller.signal,
+			signal,
 		});
 	}
 
--- a/packages/http/src/service-profiles.ts
+++ b/packages/http/src/service-profiles.ts
@@ -37,11 +37,11 @@
 			return;
 		}
 
-		known.milliseconds = average(known.milliseconds ?? milliseconds, milliseconds);
-		known.bytes = average(known.bytes, bytes);
+		known.milliseconds = computeAverage(known.milliseconds ?? milliseconds, milliseconds);
+		known.bytes = computeAverage(known.bytes, bytes);
 	}
 }
 
-function average(known: number, newest: number): number {
+function computeAverage(known: number, newest: number): number {
 	return known + (newestWeight * (newest - known));
 }
--- a/packages/http/src/service-receiver.ts
+++ b/packages/http/src/service-receiver.ts
@@ -32,7 +32,7 @@
 		return randomUUID();
 	}
 
-	async receive(req: IncomingMessage, res: ServerResponse, {arrivedAt, connectionRequests}: Arrival): Promise<Result<CallerRequest, Failure>> {
+	async receive(req: IncomingMessage, _: ServerResponse, {arrivedAt, connectionRequests, signal}: Arrival): Promise<Result<CallerRequest, Failure>> {
 		const {context, limits, isReady} = this.#options;
 		const method = req.method ?? 'GET';
 		const target = req.url ?? '/';
@@ -67,15 +67,9 @@
 
 		const asked = Number(req.headers['request-timeout'] ?? Infinity);
 		const allowed = Math.min(match.workClass.deadlineMilliseconds, asked > 0 ? asked : Infinity);
-		const controller = new AbortController();
-		res.once('close', () => {
-			if (!res.writableFinished) {
-				controller.abort();
-			}
-		});
 		return ok({
 			id: this.readId(), method, target, headers: req.headers, body: body.value, match, arrivedAt,
-			deadline: arrivedAt + allowed, callerAddress: req.socket.remoteAddress ?? 'unknown', signal: controller.signal,
+			deadline: arrivedAt + allowed, callerAddress: req.socket.remoteAddress ?? 'unknown', signal,
 			fingerprint: hashRequest({
 				method, target, body: body.value, match,
 			}),
--- a/packages/routing/src/rate-endpoint.ts
+++ b/packages/routing/src/compute-rating.ts
@@ -31,7 +31,7 @@
  * @param input - Its report and what this host knows besides.
  * @returns The expected time in usual durations of the work; lower is better.
  */
-export function rateEndpoint({report, sentSinceReport, isCold, failureShare, distance}: EndpointRatingInput): number {
+export function computeRating({report, sentSinceReport, isCold, failureShare, distance}: EndpointRatingInput): number {
 	const slots = Math.max(1, report.slots);
 	const occupied = report.running + report.waiting + sentSinceReport + 1;
 	const queued = Math.max(0, occupied - slots) / slots;
--- a/packages/routing/src/endpoint-selector.ts
+++ b/packages/routing/src/endpoint-selector.ts
@@ -1,7 +1,7 @@
 import type {Clock} from '@tanagerrail/telemetry';
 import type {DirectoryEndpoint} from './endpoint-directory.js';
 import {EndpointRecord, type EndpointReport} from './endpoint-record.js';
-import {isFull, rateEndpoint} from './rate-endpoint.js';
+import {isFull, computeRating} from './compute-rating.js';
 
 /** What a probe found. */
 export const ProbeVerdict = {
@@ -180,9 +180,9 @@
 		let probes = 0;
 		for (const batch of [...splitBatches(near, nearBatch), ...splitBatches(far, farBatch)]) {
 			const isFar = far.includes(batch[0]!);
-			const best = findBest(candidates);
+			const bestRating = findBest(candidates)?.rating ?? Infinity;
 			const target = isFar ? goodRating + this.#getDistance(batch[0]!, request) : goodRating;
-			if ((best && best.rating <= target) || probes >= maximumProbes) {
+			if (bestRating <= target || probes >= maximumProbes) {
 				break;
 			}
 
@@ -275,7 +275,7 @@
 	#rate(endpoint: DirectoryEndpoint, request: SelectionRequest): number {
 		const now = this.#options.clock();
 		const record = this.getRecord(endpoint);
-		return rateEndpoint({
+		return computeRating({
 			report: record.report ?? this.#assumeReport(endpoint),
 			sentSinceReport: record.sentSinceReport,
 			isCold: now < endpoint.coldUntil,
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -13,7 +13,7 @@
 export * from './probe-budget.js';
 export * from './probe-planner.js';
 export * from './quarantine.js';
-export * from './rate-endpoint.js';
+export * from './compute-rating.js';
 export * from './retry-budget.js';
 export * from './slot-share.js';
 export * from './wait-estimator.js';
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -10,3 +10,5 @@
 export {
 	bodyDurationHeader, durationHeader, lengthHeader, requestIdHeader,
 } from './endpoint-request.js';
+export * from './stand-in-routed-endpoint.js';
+export * from './stand-in-row-store.js';
--- /dev/null
+++ b/packages/stand-ins/src/stand-in-row-store.ts
@@ -0,0 +1,240 @@
+import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import type {AddressInfo, Socket} from 'node:net';
+
+/** A row as the store keeps it. */
+type StoredRow = {table: string; part: string; key: string; value: string; row_version: number};
+
+type Change = StoredRow & {deleted?: true};
+
+/** How the store misbehaves. */
+export const RowStoreFault = {
+	/** It answers 503 and does nothing. */
+	busy: 'busy',
+	/** It answers nothing and keeps connections open. */
+	silent: 'silent',
+	/** It breaks each connection. */
+	reset: 'reset',
+	/** It refuses for its rate. */
+	throttled: 'throttled',
+} as const;
+
+/** One of the faults. */
+export type RowStoreFault = typeof RowStoreFault[keyof typeof RowStoreFault];
+
+type Waiter = {readonly table: string; readonly after: number; readonly respond: () => void};
+
+/** Stand-in for the platform's metadata store: rows, transactions and feeds in memory. */
+export class StandInRowStore {
+	/** Calls received, by path. */
+	readonly calls: string[] = [];
+	fault: RowStoreFault | undefined;
+	readonly #rows = new Map<string, StoredRow>();
+	readonly #sockets = new Set<Socket>();
+	#changes: Change[] = [];
+	#waiters: Waiter[] = [];
+	#version = 0;
+	#oldest = 0;
+	readonly #server: Server;
+
+	constructor() {
+		this.#server = createServer((req, res) => {
+			void this.#handle(req, res);
+		});
+		this.#server.on('connection', socket => {
+			this.#sockets.add(socket);
+			socket.once('close', () => this.#sockets.delete(socket));
+		});
+	}
+
+	/** `ip:port` of the store. */
+	get address(): string {
+		const {address, port} = this.#server.address() as AddressInfo;
+		return `${address}:${port}`;
+	}
+
+	/** Starts to listen on a free port. */
+	async start(): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.#server.listen(0, '127.0.0.1', resolve);
+		});
+	}
+
+	/** Stops and breaks all connections. */
+	async stop(): Promise<void> {
+		this.dropConnections();
+		await new Promise(resolve => {
+			this.#server.close(resolve);
+		});
+	}
+
+	/** Breaks all connections. */
+	dropConnections(): void {
+		for (const socket of this.#sockets) {
+			socket.destroy();
+		}
+	}
+
+	/** Forgets the history of changes. */
+	dropHistory(): void {
+		this.#changes = [];
+		this.#oldest = this.#version;
+	}
+
+	/**
+	 * Writes a row.
+	 *
+	 * @param table - Name of the table.
+	 * @param key - Key of the row, in the empty part.
+	 * @param value - Value that is written as JSON, or text that is written as it is.
+	 */
+	put(table: string, key: string, value: unknown): void {
+		const text = typeof value === 'string' ? value : JSON.stringify(value);
+		this.#write({table, part: '', key, value: Buffer.from(text).toString('base64')});
+		this.#wake();
+	}
+
+	/**
+	 * Removes a row.
+	 *
+	 * @param table - Name of the table.
+	 * @param key - Key of the row, in the empty part.
+	 */
+	remove(table: string, key: string): void {
+		const row = this.#rows.get(identify(table, '', key));
+		if (!row) {
+			return;
+		}
+
+		this.#version += 1;
+		this.#rows.delete(identify(table, '', key));
+		this.#changes.push({...row, row_version: this.#version, deleted: true});
+		this.#wake();
+	}
+
+	/**
+	 * Lists the keys of a table.
+	 *
+	 * @param table - Name of the table.
+	 * @returns The keys in the empty part.
+	 */
+	listKeys(table: string): string[] {
+		return [...this.#rows.values()].filter(row => row.table === table && row.part === '').map(({key}) => key).sort();
+	}
+
+	async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		const url = new URL(req.url ?? '/', 'http://store');
+		this.calls.push(url.pathname);
+		const faults: Readonly<Record<RowStoreFault, () => void>> = {
+			busy: () => res.writeHead(503).end(),
+			silent() {/* No answer. */},
+			reset: () => req.socket.destroy(),
+			throttled: () => res.writeHead(429).end(),
+		};
+		if (this.fault) {
+			faults[this.fault]();
+			return;
+		}
+
+		const handlers: Readonly<Record<string, () => void | Promise<void>>> = {
+			'/tanagerrail/rows-get': () => {
+				this.#serveGet(url, res);
+			},
+			'/tanagerrail/rows-feed': () => {
+				this.#serveFeed(url, res);
+			},
+			'/tanagerrail/rows-tx': async () => this.#serveTransaction(req, res),
+		};
+		const handler = handlers[url.pathname];
+		if (!handler) {
+			res.writeHead(404).end();
+			return;
+		}
+
+		await handler();
+	}
+
+	#serveGet({searchParams}: URL, res: ServerResponse): void {
+		const from = searchParams.get('from') ?? '';
+		const limit = Number(searchParams.get('limit') ?? 500);
+		const found = [...this.#rows.values()]
+			.filter(({table, part, key}) => table === searchParams.get('table') && part === (searchParams.get('part') ?? '') && key >= from)
+			.sort((a, b) => a.key < b.key ? -1 : 1);
+		this.#respond(res, 200, {rows: found.slice(0, limit), truncated: found.length > limit});
+	}
+
+	#serveFeed({searchParams}: URL, res: ServerResponse): void {
+		const table = searchParams.get('table') ?? '';
+		const after = Number(searchParams.get('after'));
+		const waitMilliseconds = Number(searchParams.get('wait_ms') ?? 0);
+		if (after < this.#oldest) {
+			this.#respond(res, 410, {});
+			return;
+		}
+
+		const findRows = () => this.#changes.filter(change => change.table === table && change.row_version > after);
+		let isDone = false;
+		const respond = () => {
+			if (!isDone) {
+				isDone = true;
+				clearTimeout(timer);
+				this.#respond(res, 200, {rows: findRows()});
+			}
+		};
+
+		const timer = setTimeout(respond, waitMilliseconds);
+		if (findRows().length > 0) {
+			respond();
+			return;
+		}
+
+		this.#waiters.push({table, after, respond});
+		res.once('close', () => {
+			clearTimeout(timer);
+		});
+	}
+
+	async #serveTransaction(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		const chunks: Uint8Array[] = [];
+		for await (const chunk of req as AsyncIterable<Uint8Array>) {
+			chunks.push(chunk);
+		}
+
+		const {expected, writes} = JSON.parse(Buffer.concat(chunks).toString()) as {expected: StoredRow[]; writes: StoredRow[]};
+		const isMet = expected.every(({table, part, key, row_version: version}) => (this.#rows.get(identify(table, part, key))?.row_version ?? 0) === version);
+		if (!isMet) {
+			this.#respond(res, 412, {rows: expected.map(({table, part, key}) => this.#rows.get(identify(table, part, key))).filter(Boolean)});
+			return;
+		}
+
+		for (const row of writes) {
+			this.#write(row);
+		}
+
+		this.#wake();
+		this.#respond(res, 200, {});
+	}
+
+	#write(row: Omit<StoredRow, 'row_version'>): void {
+		this.#version += 1;
+		const stored = {...row, row_version: this.#version};
+		this.#rows.set(identify(row.table, row.part, row.key), stored);
+		this.#changes.push(stored);
+	}
+
+	#wake(): void {
+		const due = this.#waiters.filter(({table, after}) => this.#changes.some(change => change.table === table && change.row_version > after));
+		this.#waiters = this.#waiters.filter(waiter => !due.includes(waiter));
+		for (const {respond} of due) {
+			respond();
+		}
+	}
+
+	#respond(res: ServerResponse, status: number, body: object): void {
+		res.writeHead(status, {'content-type': 'application/json'});
+		res.end(JSON.stringify({...body, row_version: this.#version, now_ms: Math.round(performance.now())}));
+	}
+}
+
+function identify(table: string, part: string, key: string): string {
+	return `${table}\0${part}\0${key}`;
+}
--- a/packages/telemetry/src/create-stdout-sink.ts
+++ b/packages/telemetry/src/create-stdout-sink.ts
@@ -10,7 +10,7 @@
 	/** Bytes that may wait for a reader that does not read; further lines are dropped. */
 	readonly waitingBytes: number;
 	/** Writes bytes and calls back when they are written. */
-	readonly write: (bytes: Uint8Array, onWritten: (error: Error | null) => void) => void;
+	readonly write: (bytes: Uint8Array, onWritten: (error?: NodeJS.ErrnoException | null) => void) => void;
 	/** Reports how many lines were dropped in the last second. */
 	readonly onDropped: (lines: number) => void;
 };
@@ -21,7 +21,7 @@
 export const defaultStdoutSinkOptions = {
 	linesPerSecond: 500,
 	waitingBytes: 1_048_576,
-	write(bytes: Uint8Array, onWritten: (error: Error | null) => void) {
+	write(bytes: Uint8Array, onWritten: (error?: NodeJS.ErrnoException | null) => void) {
 		// Node.js writes to pipes synchronously through its streams; this call uses its thread pool instead.
 		fs.write(standardOutput, bytes, onWritten);
 	},
@@ -58,7 +58,7 @@
 
 	const writeAll = (bytes: Uint8Array) => {
 		write(bytes, error => {
-			const isFull = (error as NodeJS.ErrnoException | null)?.code === 'EAGAIN';
+			const isFull = error?.code === 'EAGAIN';
 			if (isFull) {
 				setTimeout(writeAll, 20, bytes).unref();
 				return;
--- a/tools/lint/package-imports.js
+++ b/tools/lint/package-imports.js
@@ -1,12 +1,17 @@
 import fs from 'node:fs';
 import path from 'node:path';
 
-const packagesDirectory = path.resolve(import.meta.dirname, '../../packages');
+const rootDirectory = path.resolve(import.meta.dirname, '../..');
+const packagesDirectory = path.join(rootDirectory, 'packages');
+
+/** Folder of the adapter for the users' platform, beside the packages. */
+const adapterFolder = 'vihmavesi';
+const adapterDirectory = path.join(rootDirectory, 'platform');
 
 /** Order of section 11 of docs/design.md: a package may import only packages above it. */
-const order = ['results', 'telemetry', 'platform', 'configuration', 'measuring', 'membership', 'routing', 'claims', 'http', 'peers', 'cli', 'stand-ins', 'bench'];
+const order = ['results', 'telemetry', 'platform', 'configuration', 'measuring', 'membership', 'routing', 'claims', 'http', 'peers', adapterFolder, 'cli', 'stand-ins', 'bench'];
 
-const manifests = new Map(order.map(name => [name, JSON.parse(fs.readFileSync(path.join(packagesDirectory, name, 'package.json'), 'utf8'))]));
+const manifests = new Map(order.map(name => [name, JSON.parse(fs.readFileSync(path.join(name === adapterFolder ? adapterDirectory : path.join(packagesDirectory, name), 'package.json'), 'utf8'))]));
 const folders = new Map([...manifests].map(([folder, manifest]) => [manifest.name, folder]));
 
 function findFault(owner, isTest, specifier) {
@@ -40,7 +45,9 @@
 		},
 	},
 	create(context) {
-		const [owner, folder] = path.relative(packagesDirectory, context.filename).split(path.sep);
+		const isAdapter = context.filename.startsWith(adapterDirectory + path.sep);
+		const relative = path.relative(isAdapter ? adapterDirectory : packagesDirectory, context.filename).split(path.sep);
+		const [owner, folder] = isAdapter ? [adapterFolder, ...relative] : relative;
 		return {
 			ImportDeclaration(node) {
 				const messageId = findFault(owner, folder === 'tests', node.source.value);
--- a/xo.config.js
+++ b/xo.config.js
@@ -4,10 +4,10 @@
 const tanagerrail = {rules: {'function-verb': functionVerb, 'package-imports': packageImports}};
 
 export default [
-	{ignores: ['**/dist/**', 'build/**', '**/*.d.ts', 'docs/**']},
+	{ignores: ['**/dist/**', 'build/**', 'target/**', 'journal/**', '**/*.d.ts', 'docs/**']},
 	{prettier: false, semicolon: true},
 	{
-		files: ['packages/**/*.ts'],
+		files: ['packages/**/*.ts', 'platform/**/*.ts'],
 		plugins: {tanagerrail},
 		rules: {
 			'tanagerrail/function-verb': 'error',
@@ -40,7 +40,7 @@
 		},
 	},
 	{
-		files: ['packages/*/tests/**/*.ts'],
+		files: ['packages/*/tests/**/*.ts', 'platform/tests/**/*.ts'],
 		rules: {
 			// Tests use the test runner and stand-ins of the workspace root.
 			'import-x/no-extraneous-dependencies': 'off',
