feat(routing): wait shortly for a fast endpoint below its knee

Change: probes are saved up over 10 s; without one the last reports decide; an endpoint that is slow or would be full makes a request look again after 12 ms, with a bar that rises with the wait; failures fade with a half-life of 2 s.

--- a/packages/http/src/routed-attempts.ts
+++ b/packages/http/src/routed-attempts.ts
@@ -21,8 +21,23 @@
 /** Body bytes that are received before a response is passed on, so that one that breaks off can be repeated. */
 const bufferBytes = 1_048_576;
 
-/** Time after which a host that found all endpoints full looks again, in milliseconds. */
-const fullRetryMilliseconds = 25;
+/** Time after which a host that found no good endpoint looks again, in milliseconds. */
+const reselectMilliseconds = 12;
+
+/** Probes of a selection after the first one of a request. */
+const reselectProbes = 3;
+
+/** Rating up to which an endpoint is taken at once, in usual durations of the work. */
+const goodRating = 1.4;
+
+/** How much worse an endpoint may be after a wait of one usual duration of the work. */
+const patienceSlope = 2;
+
+/** Usual duration of the work that is assumed before the first response, in milliseconds. */
+const assumedMilliseconds = 150;
+
+/** Attempts that stay in the budget for requests that were refused or lost. */
+const hedgeReserve = 3;
 
 /** Part of the latency objective for which a request waits for an endpoint that is not full. */
 const waitShare = 0.6;
@@ -34,7 +49,7 @@
 const usualHedgeShare = 0.5;
 
 /** Rating that the endpoint of a second attempt must reach, in usual durations of the work. */
-const worstHedgeRating = 2;
+const worstHedgeRating = 1.4;
 
 /** Sends one request to endpoints until one has answered, within the limits of its route. */
 export class RoutedAttempts {
@@ -46,6 +61,7 @@
 	readonly #wakes: Wake[] = [];
 	#resolveWake: (() => void) | undefined;
 	#sent = 0;
+	#selections = 0;
 	#mayHaveRun = false;
 	#isSelecting = false;
 	#isClosed = false;
@@ -155,7 +171,7 @@
 			request: id, service, kind, probes, milliseconds: Math.round(milliseconds), waited: Math.round(waited),
 		});
 		if (waited < route.objectiveMilliseconds * waitShare) {
-			this.#schedule(fullRetryMilliseconds, {kind: 'resume'});
+			this.#schedule(reselectMilliseconds, {kind: 'resume'});
 			return undefined;
 		}
 
@@ -198,7 +214,7 @@
 	#startHedge(): void {
 		const {service, route} = this.#request;
 		const isAllowed = this.#running.size === 1 && !this.#isSelecting && this.#sent < route.maximumAttempts;
-		if (isAllowed && this.#context.getBudget(service).available >= 1) {
+		if (isAllowed && this.#context.getBudget(service).available >= 1 + hedgeReserve) {
 			this.#startAttempt(true);
 		}
 	}
@@ -209,11 +225,19 @@
 	}
 
 	async #selectEndpoint(isSpeculative: boolean): Promise<void> {
-		const {service, route} = this.#request;
-		const {selector, profiles, meter} = this.#context;
+		const {service, route, arrivedAt} = this.#request;
+		const {selector, profiles, meter, clock} = this.#context;
+		const {bytes, milliseconds: usual = assumedMilliseconds} = profiles.get(route.name);
+		// Short work on a fast endpoint is over before long work on a slow one, so a short wait for a good endpoint pays.
+		const patience = patienceSlope * (clock() - arrivedAt) / usual;
 		const selected = await selector.select({
-			service, excluded: this.#tried, responseBytes: profiles.get(route.name).bytes, ...(isSpeculative && {worstRating: worstHedgeRating}),
+			service,
+			excluded: this.#tried,
+			responseBytes: bytes,
+			worstRating: isSpeculative ? worstHedgeRating : goodRating + patience,
+			...(this.#selections > 0 && {maximumProbes: reselectProbes}),
 		});
+		this.#selections += 1;
 		this.#isSelecting = false;
 		if ('kind' in selected) {
 			meter.countSelection(service, selected.kind, selected.probes);
@@ -222,7 +246,7 @@
 		}
 
 		meter.countSelection(service, 'chosen', selected.reason.probes);
-		const isUseless = this.#isClosed || (isSpeculative && (this.#running.size === 0 || !this.#context.getBudget(service).take()));
+		const isUseless = this.#isClosed || (isSpeculative && (this.#running.size === 0 || !this.#context.getBudget(service).take(hedgeReserve)));
 		if (isUseless) {
 			selected.connection?.release();
 			this.#notify({kind: 'refused', refusal: {kind: 'slow', probes: 0, milliseconds: 0}, isSpeculative: true});
@@ -279,7 +303,7 @@
 
 		record.recordFailure(clock());
 		logger.log(LogLevel.info, 'attempt-failed', {
-			request: id, endpoint: endpoint.id, end, failure: failure.id, milliseconds: Math.round(milliseconds), failureShare: record.failureShare,
+			request: id, endpoint: endpoint.id, end, failure: failure.id, milliseconds: Math.round(milliseconds), failureShare: Number(record.computeFailureShare(clock()).toFixed(2)),
 		});
 	}
 
--- a/packages/routing/src/attempt-budget.ts
+++ b/packages/routing/src/attempt-budget.ts
@@ -16,7 +16,7 @@
 };
 
 /** Defaults of {@link AttemptBudgetOptions}. */
-export const defaultAttemptBudgetOptions = {usableShare: 0.75};
+export const defaultAttemptBudgetOptions = {usableShare: 0.85};
 
 /**
  * Bounds the attempts beyond the first at the endpoints of one service, summed over all hosts. Each host spends the share
--- a/packages/routing/src/compute-rating.ts
+++ b/packages/routing/src/compute-rating.ts
@@ -7,38 +7,31 @@
 	readonly sentSinceReport: number;
 	/** Whether it has just started. */
 	readonly isCold: boolean;
-	/** Share of recent requests that failed, between 0 and 1. */
-	readonly failureShare: number;
-	/** Cost of reaching it beyond the cheapest one, in usual durations of the work. */
-	readonly distance: number;
 };
 
 /** Part of the slots above which endpoints slow down. */
 const kneeShare = 0.8;
 
 /** How much longer work takes above the knee. */
-const kneeFactor = 1.5;
+const kneeFactor = 1.7;
 
 /** How much longer work takes on an endpoint that has just started. */
 const coldFactor = 1.8;
 
-/** Cost of a certain failure, in usual durations of the work. */
-const failureCost = 6;
-
 /**
  * Rates an endpoint by the expected time until it has finished one more request.
  *
  * @param input - Its report and what this host knows besides.
  * @returns The expected time in usual durations of the work; lower is better.
  */
-export function computeRating({report, sentSinceReport, isCold, failureShare, distance}: EndpointRatingInput): number {
+export function computeRating({report, sentSinceReport, isCold}: EndpointRatingInput): number {
 	const slots = Math.max(1, report.slots);
 	const occupied = report.running + report.waiting + sentSinceReport + 1;
 	const queued = Math.max(0, occupied - slots) / slots;
 	const fill = Math.min(1, occupied / slots);
 	const pace = report.slowness * (fill > kneeShare ? kneeFactor : 1) * (isCold ? coldFactor : 1);
 	// Among endpoints that are equally fast, the emptier one is better placed for what comes next.
-	return (pace * (1 + queued)) + (0.1 * fill) + (failureCost * failureShare) + distance;
+	return (pace * (1 + queued)) + (0.1 * fill);
 }
 
 /**
--- a/packages/routing/src/endpoint-record.ts
+++ b/packages/routing/src/endpoint-record.ts
@@ -21,6 +21,9 @@
 /** Defaults of {@link EndpointRecordOptions}. */
 export const defaultEndpointRecordOptions: EndpointRecordOptions = {failureLimit: 2, avoidMilliseconds: 500, maximumAvoidMilliseconds: 4000};
 
+/** Time after which a failure counts half, in milliseconds. */
+const failureHalfLife = 2000;
+
 /** What this host has seen of one endpoint. */
 export class EndpointRecord {
 	/** Requests that this host has sent and that have not ended. */
@@ -35,14 +38,20 @@
 	#sentSinceReport = 0;
 	/** Share of recent requests that failed, between 0 and 1. */
 	#failureShare = 0;
+	#failedAt = 0;
 
 	constructor(options: Partial<EndpointRecordOptions> = {}) {
 		this.#options = {...defaultEndpointRecordOptions, ...options};
 	}
 
-	/** Share of recent requests that failed, between 0 and 1; recent ones count most. */
-	get failureShare(): number {
-		return this.#failureShare;
+	/**
+	 * Computes the share of recent requests that failed.
+	 *
+	 * @param now - Monotonic time in milliseconds.
+	 * @returns A share between 0 and 1; recent requests count most, and old failures fade.
+	 */
+	computeFailureShare(now: number): number {
+		return this.#failureShare * (0.5 ** ((now - this.#failedAt) / failureHalfLife));
 	}
 
 	/** Requests that this host has sent since the last report. */
@@ -98,7 +107,8 @@
 	recordFailure(now: number): void {
 		const {failureLimit, avoidMilliseconds, maximumAvoidMilliseconds} = this.#options;
 		this.#failures += 1;
-		this.#failureShare = (this.#failureShare * 0.7) + 0.3;
+		this.#failureShare = (this.computeFailureShare(now) * 0.7) + 0.3;
+		this.#failedAt = now;
 		if (this.#failures >= failureLimit) {
 			const duration = Math.min(maximumAvoidMilliseconds, avoidMilliseconds * (2 ** (this.#failures - failureLimit)));
 			this.#avoidedUntil = now + duration;
--- a/packages/routing/src/endpoint-selector.ts
+++ b/packages/routing/src/endpoint-selector.ts
@@ -43,8 +43,10 @@
 	readonly excluded: ReadonlySet<string>;
 	/** Usual size of the response in bytes; large ones stay in the own failure domain. */
 	readonly responseBytes: number;
-	/** Rating above which the selection gives up; used by attempts that are not necessary. */
+	/** Rating above which the selection gives up, apart from the cost of a usual distance; any will do by default. */
 	readonly worstRating?: number;
+	/** Probes that may be sent; the option of the selector by default. */
+	readonly maximumProbes?: number;
 };
 
 /** Why an endpoint was chosen. */
@@ -112,6 +114,15 @@
 	bytesPerDuration: 20_000,
 };
 
+/** Cost of a certain failure, in usual durations of the work. */
+const failureCost = 6;
+
+/** Rating that is expected of an endpoint without a recent report. */
+const unknownRating = 1.3;
+
+/** Distance that does not count as a reason to wait for a better endpoint, in usual durations of the work. */
+const usualDistance = 0.6;
+
 /** Age up to which a report says something about the endpoint's speed, in milliseconds. */
 const usefulReportAge = 250;
 
@@ -173,7 +184,8 @@
 	 * @returns The endpoint with a connection to it, or why there is none.
 	 */
 	async select(request: SelectionRequest): Promise<Selection<C> | SelectionRefusal> {
-		const {clock, maximumProbes, nearBatch, farBatch, goodRating} = this.#options;
+		const {clock, nearBatch, farBatch, goodRating} = this.#options;
+		const {maximumProbes = this.#options.maximumProbes} = request;
 		const startedAt = clock();
 		const [near, far] = this.#rank(request);
 		const candidates: Array<Candidate<C>> = [];
@@ -188,6 +200,8 @@
 
 			const allowed = batch.filter(() => this.#options.takeProbe(request.service));
 			if (allowed.length === 0) {
+				// Without a probe to spare, the last reports decide.
+				candidates.push(...[...near, ...far].map(endpoint => this.#recall(endpoint, request)).filter(candidate => candidate !== undefined));
 				break;
 			}
 
@@ -201,17 +215,17 @@
 	}
 
 	/** Sorts the endpoints of the own failure domain and the others, the most promising first. */
-	#rank({service, excluded}: SelectionRequest): [near: DirectoryEndpoint[], far: DirectoryEndpoint[]] {
+	#rank(request: SelectionRequest): [near: DirectoryEndpoint[], far: DirectoryEndpoint[]] {
 		const {clock, draw, failureDomain} = this.#options;
+		const {service, excluded} = request;
 		const now = clock();
 		const scores = new Map<string, number>();
 		const endpoints = this.#options.listEndpoints(service).filter(({id}) => !excluded.has(id));
 		for (const endpoint of endpoints) {
 			const record = this.getRecord(endpoint);
 			const isUseful = now - record.reportedAt < usefulReportAge;
-			const slowness = isUseful && record.report ? record.report.slowness : 1.3;
-			const coldness = now < endpoint.coldUntil ? 1 : 0;
-			scores.set(endpoint.id, slowness + coldness + (record.inFlight / endpoint.slots) + (record.failureShare * 4) + (record.isAvoided(now) ? 100 : 0) + (draw() * 0.5));
+			const expected = isUseful ? this.#rate(endpoint, request) : unknownRating + (record.inFlight / endpoint.slots) + (now < endpoint.coldUntil ? 1 : 0);
+			scores.set(endpoint.id, expected + (draw() * 0.5) + (record.isAvoided(now) ? 100 : 0));
 		}
 
 		endpoints.sort((a, b) => scores.get(a.id)! - scores.get(b.id)!);
@@ -272,15 +286,30 @@
 		};
 	}
 
+	/** Judges an endpoint by what is known of it; those that have failed of late are left out. */
+	#recall(endpoint: DirectoryEndpoint, request: SelectionRequest): Candidate<C> | undefined {
+		const record = this.getRecord(endpoint);
+		if (record.isAvoided(this.#options.clock())) {
+			return undefined;
+		}
+
+		return {
+			endpoint, record, connection: undefined, rating: this.#rate(endpoint, request), isFull: false, isHealthy: true,
+		};
+	}
+
+	/** Rating by which endpoints are compared; failures and distance go before a wait for a better one. */
 	#rate(endpoint: DirectoryEndpoint, request: SelectionRequest): number {
 		const now = this.#options.clock();
+		const record = this.getRecord(endpoint);
+		const failures = record.computeFailureShare(now) + (record.isAvoided(now) ? 1 : 0);
+		return this.#computePace(endpoint) + (failureCost * failures) + this.#getDistance(endpoint, request);
+	}
+
+	#computePace(endpoint: DirectoryEndpoint): number {
 		const record = this.getRecord(endpoint);
 		return computeRating({
-			report: record.report ?? this.#assumeReport(endpoint),
-			sentSinceReport: record.sentSinceReport,
-			isCold: now < endpoint.coldUntil,
-			failureShare: record.failureShare + (record.isAvoided(now) ? 1 : 0),
-			distance: this.#getDistance(endpoint, request),
+			report: record.report ?? this.#assumeReport(endpoint), sentSinceReport: record.sentSinceReport, isCold: this.#options.clock() < endpoint.coldUntil,
 		});
 	}
 
@@ -291,6 +320,11 @@
 		};
 	}
 
+	/** Rating that decides whether to wait; a wait mends neither failures nor a usual distance. */
+	#computeWaitRating(endpoint: DirectoryEndpoint, request: SelectionRequest): number {
+		return this.#computePace(endpoint) + Math.max(0, this.#getDistance(endpoint, request) - usualDistance);
+	}
+
 	#conclude(candidates: Array<Candidate<C>>, found: {request: SelectionRequest; probes: number; milliseconds: number; endpoints: readonly DirectoryEndpoint[]}): Selection<C> | SelectionRefusal {
 		const {request, probes, milliseconds, endpoints} = found;
 		const healthy = findBest(candidates);
@@ -302,7 +336,7 @@
 			}
 		}
 
-		if (chosen && chosen.rating <= (request.worstRating ?? Infinity)) {
+		if (chosen && this.#computeWaitRating(chosen.endpoint, request) <= (request.worstRating ?? Infinity)) {
 			const {endpoint, record, connection, rating} = chosen;
 			return {
 				endpoint, record, connection,
--- a/packages/routing/src/probe-budget.ts
+++ b/packages/routing/src/probe-budget.ts
@@ -7,6 +7,9 @@
 	readonly getRate: (service: string) => number;
 };
 
+/** Time for which unused probes are saved up, in seconds; the budget holds over longer times. */
+const savedSeconds = 10;
+
 type ServiceTokens = {tokens: number; filledAt: number};
 
 /** Bounds the probes of this host, so that all hosts together stay within the measuring budget of the endpoints. */
@@ -28,9 +31,8 @@
 		const {clock, getRate} = this.#options;
 		const now = clock();
 		const rate = getRate(service);
-		const known = this.#services.get(service) ?? {tokens: rate, filledAt: now};
-		// At most what one second earns is saved up.
-		known.tokens = Math.min(rate, known.tokens + ((now - known.filledAt) * rate / 1000));
+		const known = this.#services.get(service) ?? {tokens: rate * savedSeconds, filledAt: now};
+		known.tokens = Math.min(rate * savedSeconds, known.tokens + ((now - known.filledAt) * rate / 1000));
 		known.filledAt = now;
 		this.#services.set(service, known);
 		if (known.tokens < 1) {
