fix(http): tell a reset that arrives with the last bytes from an orderly end

Node.js reports a reset that is polled together with readable bytes as an orderly end, so a body without a length passed for whole.

Ruled out: refusing all bodies without a length, since whole ones are to be delivered.

Change: at the end of a connection the peer's address is read; a socket without one was reset. Bodies above the buffer are streamed without pausing the parser from within its own call, which span without end in a new test. A request that waits is woken by responses that report room; such a report younger than 8 ms needs no probe.

Figures: the test of a reset with its last bytes fails without the change and passes with it.

--- a/packages/cli/tests/edge-host.test.ts
+++ b/packages/cli/tests/edge-host.test.ts
@@ -37,6 +37,7 @@
 	'a response to another request': routedBehaviours.mix,
 	'a success without a seal': routedBehaviours.forge,
 	'a body without a length that is reset': routedBehaviours.cutUnframed,
+	'a body without a length that is reset with its last bytes': routedBehaviours.resetUnframed,
 	'a chunked body that breaks off': routedBehaviours.cutChunked,
 	'no response': routedBehaviours.hang,
 };
--- a/packages/http/src/connection-pool.ts
+++ b/packages/http/src/connection-pool.ts
@@ -162,12 +162,15 @@
 	}
 }
 
-/** Undici takes a response without a length as complete however its connection ends, so the way it ends is noted first. */
+/**
+ * Undici takes a response without a length as complete however its connection ends, so the way it ends is noted first.
+ * A reset that arrives together with the last bytes is told by Node.js as an orderly end; the socket then has no peer.
+ */
 function watchEnding(socket: Socket, connection: Connection): void {
 	socket.once('error', () => {
 		connection.ending = 'reset';
 	});
 	socket.once('end', () => {
-		connection.ending ??= 'ended';
+		connection.ending ??= socket.remoteAddress === undefined ? 'reset' : 'ended';
 	});
 }
--- a/packages/http/src/exchange.ts
+++ b/packages/http/src/exchange.ts
@@ -20,8 +20,8 @@
 	readonly reason: string;
 };
 
-/** Receives the rest of a body; the promise resolves when more may come. */
-export type WriteChunk = (chunk: Uint8Array) => Promise<void>;
+/** Receives the rest of a body; a promise, if any, resolves when there is room for more. */
+export type WriteChunk = (chunk: Uint8Array) => Promise<void> | undefined;
 
 /** A response, with its body as far as it has been received. */
 export type ExchangeResponse = {
@@ -67,7 +67,6 @@
 	#isEnded = false;
 	#controller: Dispatcher.DispatchController | undefined;
 	#write: WriteChunk | undefined;
-	#pendingWrite: Promise<void> = Promise.resolve();
 	#endRest: (isWhole: boolean) => void = () => undefined;
 	/** Resolves when the body has ended, with whether it is whole. */
 	readonly #rest = new Promise<boolean>(resolve => {
@@ -135,21 +134,27 @@
 		}
 	}
 
+	/** Passes a chunk on; the endpoint is read no further while the receiver has no room. */
 	#forward(chunk: Buffer): void {
-		this.#controller?.pause();
-		this.#pendingWrite = this.#writeAfter(this.#pendingWrite, chunk);
+		const room = this.#write!(chunk);
+		if (room) {
+			this.#controller?.pause();
+			void this.#resumeAfter(room);
+		}
 	}
 
-	async #writeAfter(previous: Promise<void>, chunk: Buffer): Promise<void> {
-		await previous;
-		try {
-			await this.#write!(chunk);
-		} catch {
-			// The receiver of the body is gone.
-			this.abort();
-		}
+	async #resumeAfter(room: Promise<void>): Promise<void> {
+		await room;
+		this.#scheduleResume();
+	}
 
-		this.#controller?.resume();
+	/** The parser of undici must not be resumed from within its own call. */
+	#scheduleResume(): void {
+		setImmediate(() => {
+			if (!this.#isEnded) {
+				this.#controller?.resume();
+			}
+		});
 	}
 
 	#finish(): void {
@@ -200,10 +205,8 @@
 			this.#forward(chunk);
 		}
 
-		this.#controller?.resume();
-		const isWhole = await this.#rest;
-		await this.#pendingWrite;
-		return isWhole;
+		this.#scheduleResume();
+		return this.#rest;
 	}
 }
 
--- a/packages/http/src/read-attempt-end.ts
+++ b/packages/http/src/read-attempt-end.ts
@@ -55,7 +55,7 @@
 	const {endpoints, selector, profiles, clock} = context;
 	const marks = endpoints.readResponse(response.status, response.headers);
 	if (marks.report) {
-		selector.getRecord(endpoint).updateReport(marks.report, clock());
+		selector.updateReport(endpoint, marks.report);
 	}
 
 	const isSuccess = response.status < 300;
--- a/packages/http/src/routed-attempts.ts
+++ b/packages/http/src/routed-attempts.ts
@@ -22,10 +22,13 @@
 const bufferBytes = 1_048_576;
 
 /** Time after which a host that found no good endpoint looks again, in milliseconds. */
-const reselectMilliseconds = 12;
+const reselectMilliseconds = 25;
+
+/** Longest silence of a kept connection that is used without a probe, in milliseconds. */
+const unprobedSilence = 50;
 
 /** Probes of a selection after the first one of a request. */
-const reselectProbes = 3;
+const reselectProbes = 2;
 
 /** Rating up to which an endpoint is taken at once, in usual durations of the work. */
 const goodRating = 1.4;
@@ -60,6 +63,7 @@
 	readonly #timers = new Set<NodeJS.Timeout>();
 	readonly #wakes: Wake[] = [];
 	#resolveWake: (() => void) | undefined;
+	#endWait: () => void = () => undefined;
 	#sent = 0;
 	#selections = 0;
 	#mayHaveRun = false;
@@ -167,17 +171,41 @@
 	#handleRefusal({kind, probes, milliseconds}: SelectionRefusal): Result<RoutedResponse, Failure> | undefined {
 		const {route, service, arrivedAt, id} = this.#request;
 		const waited = this.#context.clock() - arrivedAt;
-		logger.log(LogLevel.info, 'endpoint-missing', {
-			request: id, service, kind, probes, milliseconds: Math.round(milliseconds), waited: Math.round(waited),
-		});
-		if (waited < route.objectiveMilliseconds * waitShare) {
-			this.#schedule(reselectMilliseconds, {kind: 'resume'});
+		const isWaiting = waited < route.objectiveMilliseconds * waitShare;
+		// One line when the wait begins and one when it ends without an endpoint tell as much as one for each look.
+		if (this.#selections === 1 || !isWaiting) {
+			logger.log(LogLevel.info, 'endpoint-missing', {
+				request: id, service, kind, probes, milliseconds: Math.round(milliseconds), waited: Math.round(waited), selections: this.#selections, isWaiting,
+			});
+		}
+
+		if (isWaiting) {
+			this.#waitForEndpoint();
 			return undefined;
 		}
 
 		return this.#last ? this.#conclude() : err(createFailure(kind === 'none' ? 'no-endpoint' : 'no-free-slot', {service}));
 	}
 
+	/** Looks again when an endpoint reports room, or after a while. */
+	#waitForEndpoint(): void {
+		let isResumed = false;
+		const resume = () => {
+			if (!isResumed) {
+				isResumed = true;
+				this.#endWait();
+				this.#notify({kind: 'resume'});
+			}
+		};
+
+		const timer = setTimeout(resume, reselectMilliseconds);
+		const endWait = this.#context.selector.waitReport(this.#request.service, resume);
+		this.#endWait = () => {
+			clearTimeout(timer);
+			endWait();
+		};
+	}
+
 	#handleNothingLeft(): Result<RoutedResponse, Failure> | undefined {
 		if (this.#running.size > 0 || !this.#last) {
 			return undefined;
@@ -267,7 +295,7 @@
 		const pool = held?.pool ?? connections.get(endpoint.address);
 		const exchange = new Exchange({
 			pool,
-			connection: held?.connection ?? pool.open(),
+			connection: held?.connection ?? pool.take(unprobedSilence),
 			bufferBytes,
 			request: {
 				method,
@@ -355,6 +383,7 @@
 	/** Cancels what is still running; endpoints drop a request when its connection closes. */
 	#close(): void {
 		this.#isClosed = true;
+		this.#endWait();
 		for (const timer of this.#timers) {
 			clearTimeout(timer);
 		}
--- a/packages/http/src/routed-receiver.ts
+++ b/packages/http/src/routed-receiver.ts
@@ -1,5 +1,4 @@
 import {randomUUID} from 'node:crypto';
-import {once} from 'node:events';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
 import {createFailure, resultCodes, type Failure} from '@tanagerrail/results';
@@ -10,6 +9,7 @@
 import {RoutedAttempts} from './routed-attempts.js';
 import type {RoutedContext} from './routed-context.js';
 import type {RoutedRequest, RoutedResponse} from './routed-request.js';
+import {waitDrain} from './wait-drain.js';
 
 const logger = createLogger('http');
 
@@ -109,14 +109,13 @@
 		}
 
 		res.write(body);
-		const isWhole = await streamRest(async chunk => {
-			if (!res.write(chunk) && !res.destroyed) {
-				await Promise.race([once(res, 'drain'), once(res, 'close')]);
-			}
-
+		const isWhole = await streamRest(chunk => {
 			if (res.destroyed) {
 				abort();
+				return undefined;
 			}
+
+			return res.write(chunk) ? undefined : waitDrain(res);
 		});
 		if (!isWhole) {
 			res.destroy();
--- a/packages/http/src/stream-response.ts
+++ b/packages/http/src/stream-response.ts
@@ -1,4 +1,3 @@
-import {once} from 'node:events';
 import type {ServerResponse} from 'node:http';
 import {createFailure, type Failure} from '@tanagerrail/results';
 import {err, ok, type Result} from 'neverthrow';
@@ -6,6 +5,7 @@
 import type {OpenedResponse} from './open-response.js';
 import type {Resumption} from './resume-response.js';
 import {stripHopByHop} from './forwarded-headers.js';
+import {waitDrain} from './wait-drain.js';
 
 const statusesWithoutBody = new Set([204, 304]);
 
@@ -89,13 +89,3 @@
 		return {bytes, isWhole: false};
 	}
 }
-
-async function waitDrain(res: ServerResponse): Promise<void> {
-	const controller = new AbortController();
-	const {signal} = controller;
-	try {
-		await Promise.race([once(res, 'drain', {signal}), once(res, 'close', {signal})]);
-	} finally {
-		controller.abort();
-	}
-}
--- /dev/null
+++ b/packages/http/tests/exchange.test.ts
@@ -0,0 +1,74 @@
+import {once} from 'node:events';
+import {createServer, type RequestListener} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {setTimeout as wait} from 'node:timers/promises';
+import {test, type Test} from 'tap';
+import {readMonotonicClock} from '@tanagerrail/telemetry';
+import {ConnectionPool} from '../src/connection-pool.js';
+import {Exchange} from '../src/exchange.js';
+
+async function startExchange(t: Test, listener: RequestListener, bufferBytes: number): Promise<{exchange: Exchange; pool: ConnectionPool}> {
+	const server = createServer(listener);
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const pool = new ConnectionPool({address: `127.0.0.1:${(server.address() as AddressInfo).port}`, clock: readMonotonicClock});
+	t.teardown(() => {
+		pool.close();
+		server.close();
+		server.closeAllConnections();
+	});
+	const exchange = new Exchange({
+		pool, connection: pool.open(), bufferBytes, request: {
+			method: 'GET', target: '/', headers: {host: 'h'}, body: undefined,
+		},
+	});
+	return {exchange, pool};
+}
+
+test('guards against a large body that is reordered or lost behind a slow caller', async t => {
+	const body = Buffer.alloc(3_000_000, 'abcdefghij');
+	const {exchange, pool} = await startExchange(t, (_, res) => {
+		res.end(body);
+	}, 100_000);
+	const response = (await exchange.result)._unsafeUnwrap();
+	t.equal(response.isComplete, false);
+	const chunks = [response.body];
+	let writes = 0;
+	const isWhole = await response.streamRest(chunk => {
+		chunks.push(Buffer.from(chunk));
+		writes += 1;
+		return writes % 3 === 0 ? wait(2) : undefined;
+	});
+	t.equal(isWhole, true);
+	t.ok(Buffer.concat(chunks).equals(body));
+	t.ok(pool.takeIdle(), 'the connection is kept');
+});
+
+test('guards against a cut body that looks whole to the caller', async t => {
+	const {exchange} = await startExchange(t, (_, res) => {
+		res.writeHead(200, {'content-length': 1_000_000});
+		res.write(Buffer.alloc(300_000));
+		setTimeout(() => {
+			res.destroy();
+		}, 50);
+	}, 100_000);
+	const response = (await exchange.result)._unsafeUnwrap();
+	t.equal(await response.streamRest(() => undefined), false);
+});
+
+test('a request that found no connection was not sent', async t => {
+	const pool = new ConnectionPool({address: '127.0.0.1:1', clock: readMonotonicClock});
+	const exchange = new Exchange({
+		pool, connection: pool.open(), bufferBytes: 1000, request: {
+			method: 'POST', target: '/', headers: {host: 'h'}, body: Buffer.from('x'),
+		},
+	});
+	t.match((await exchange.result)._unsafeUnwrapErr(), {wasSent: false});
+});
+
+test('a request whose connection breaks after it was sent may have run', async t => {
+	const {exchange} = await startExchange(t, req => {
+		req.socket.destroy();
+	}, 1000);
+	t.match((await exchange.result)._unsafeUnwrapErr(), {wasSent: true});
+});
--- a/packages/routing/src/endpoint-selector.ts
+++ b/packages/routing/src/endpoint-selector.ts
@@ -117,6 +117,9 @@
 /** Cost of a certain failure, in usual durations of the work. */
 const failureCost = 6;
 
+/** Age up to which a report is as good as a probe, in milliseconds. */
+const freshMilliseconds = 8;
+
 /** Rating that is expected of an endpoint without a recent report. */
 const unknownRating = 1.3;
 
@@ -142,6 +145,8 @@
 export class EndpointSelector<C extends ProbedConnection> {
 	readonly #options: EndpointSelectorOptions<C>;
 	readonly #records = new Map<string, {startedAt: number; record: EndpointRecord}>();
+	/** Requests that wait for a good endpoint of a service, in the order of their arrival. */
+	readonly #waiters = new Map<string, Set<() => void>>();
 
 	constructor(options: Partial<EndpointSelectorOptions<C>> & Omit<EndpointSelectorOptions<C>, keyof typeof defaultEndpointSelectorOptions>) {
 		this.#options = {...defaultEndpointSelectorOptions, ...options};
@@ -164,6 +169,43 @@
 		return record;
 	}
 
+	/**
+	 * Takes over a report that came with a response. If it tells of room, the request that has waited longest looks again.
+	 *
+	 * @param endpoint - The endpoint that reported.
+	 * @param report - Its load and speed.
+	 */
+	updateReport(endpoint: DirectoryEndpoint, report: EndpointReport): void {
+		const {clock, goodRating} = this.#options;
+		this.getRecord(endpoint).updateReport(report, clock());
+		if (this.#computePace(endpoint) > goodRating) {
+			return;
+		}
+
+		const waiters = this.#waiters.get(endpoint.service);
+		const [first] = waiters ?? [];
+		if (first) {
+			waiters!.delete(first);
+			first();
+		}
+	}
+
+	/**
+	 * Registers a request that waits for a good endpoint.
+	 *
+	 * @param service - Service of the endpoint.
+	 * @param notify - Called once when an endpoint reports room.
+	 * @returns Ends the wait.
+	 */
+	waitReport(service: string, notify: () => void): () => void {
+		const waiters = this.#waiters.get(service) ?? new Set();
+		this.#waiters.set(service, waiters);
+		waiters.add(notify);
+		return () => {
+			waiters.delete(notify);
+		};
+	}
+
 	/**
 	 * Drops the records of endpoints that no longer exist.
 	 *
@@ -188,7 +230,8 @@
 		const {maximumProbes = this.#options.maximumProbes} = request;
 		const startedAt = clock();
 		const [near, far] = this.#rank(request);
-		const candidates: Array<Candidate<C>> = [];
+		const fresh = this.#findFresh(near, request);
+		const candidates: Array<Candidate<C>> = fresh ? [fresh] : [];
 		let probes = 0;
 		for (const batch of [...splitBatches(near, nearBatch), ...splitBatches(far, farBatch)]) {
 			const isFar = far.includes(batch[0]!);
@@ -286,6 +329,15 @@
 		};
 	}
 
+	/** Finds an endpoint that has just reported room, which no probe could tell better. */
+	#findFresh(near: readonly DirectoryEndpoint[], request: SelectionRequest): Candidate<C> | undefined {
+		const {clock, goodRating} = this.#options;
+		const oldest = clock() - freshMilliseconds;
+		const candidates = near.filter(endpoint => this.getRecord(endpoint).reportedAt >= oldest).map(endpoint => this.#recall(endpoint, request));
+		const best = findBest(candidates.filter(candidate => candidate !== undefined));
+		return best && best.rating <= goodRating ? best : undefined;
+	}
+
 	/** Judges an endpoint by what is known of it; those that have failed of late are left out. */
 	#recall(endpoint: DirectoryEndpoint, request: SelectionRequest): Candidate<C> | undefined {
 		const record = this.getRecord(endpoint);
--- /dev/null
+++ b/packages/routing/tests/attempt-budget.test.ts
@@ -0,0 +1,68 @@
+import {test} from 'tap';
+import {AttemptBudget} from '../src/attempt-budget.js';
+import {EndpointRecord} from '../src/endpoint-record.js';
+import {ProbeBudget} from '../src/probe-budget.js';
+
+test('guards against more attempts than all hosts together may make in any window', async t => {
+	const time = {now: 0};
+	const hosts = 10;
+	const [ratio, slack, windowMilliseconds] = [0.2, 50, 10_000];
+	const budgets = Array.from({length: hosts}, () => new AttemptBudget({
+		clock: () => time.now, ratio, slack, windowMilliseconds, getHostCount: () => hosts,
+	}));
+	const requests: number[] = [];
+	const attempts: number[] = [];
+	for (time.now = 0; time.now < 60_000; time.now += 10) {
+		const budget = budgets[(time.now / 10 * 7) % hosts]!;
+		// Load stops for a while, so that a budget that is saved up would be spent at once.
+		if (time.now < 20_000 || time.now > 35_000) {
+			budget.addRequest();
+			requests.push(time.now);
+		}
+
+		while (budget.take()) {
+			attempts.push(time.now);
+		}
+	}
+
+	t.ok(attempts.length > 100, 'the budget is usable');
+	for (let end = 0; end < 60_000; end += 250) {
+		const countIn = (times: readonly number[], from: number) => times.filter(at => at > from - windowMilliseconds && at <= from).length;
+		const earned = Math.max(countIn(requests, end), countIn(requests, end - 5000), countIn(requests, end - 10_000));
+		t.ok(countIn(attempts, end) <= (ratio * earned) + slack, `window that ends at ${end}`);
+	}
+});
+
+test('guards against a second slack for a host that has just restarted', async t => {
+	const time = {now: 0};
+	const budget = new AttemptBudget({
+		clock: () => time.now, ratio: 0, slack: 100, windowMilliseconds: 10_000, getHostCount: () => 1,
+	});
+	t.notOk(budget.take());
+	time.now = 5000;
+	t.ok(budget.available > 30 && budget.available <= 50);
+});
+
+test('guards against probes beyond the measuring budget', async t => {
+	const time = {now: 0};
+	const budget = new ProbeBudget({clock: () => time.now, getRate: () => 4});
+	let sent = 0;
+	for (time.now = 0; time.now < 100_000; time.now += 50) {
+		sent += budget.take('s') ? 1 : 0;
+	}
+
+	t.ok(sent <= (4 * 100) + 40, `${sent} probes in 100 s`);
+});
+
+test('guards against an endpoint that fails fast and so looks idle', async t => {
+	const record = new EndpointRecord();
+	record.recordFailure(0);
+	t.notOk(record.isAvoided(0));
+	record.recordFailure(10);
+	t.ok(record.isAvoided(20));
+	t.notOk(record.isAvoided(600));
+	t.ok(record.computeFailureShare(10) > 0.4);
+	t.ok(record.computeFailureShare(10_000) < 0.05, 'old failures fade');
+	record.recordSuccess();
+	t.notOk(record.isAvoided(20));
+});
--- /dev/null
+++ b/packages/routing/tests/endpoint-selector.test.ts
@@ -0,0 +1,124 @@
+import {test} from 'tap';
+import type {DirectoryEndpoint} from '../src/endpoint-directory.js';
+import type {EndpointReport} from '../src/endpoint-record.js';
+import {
+	EndpointSelector, ProbeVerdict, type EndpointSelectorOptions, type ProbedConnection, type SelectionRequest,
+} from '../src/endpoint-selector.js';
+
+type Answer = Partial<EndpointReport> & {readonly verdict?: ProbeVerdict; readonly domain?: string; readonly silent?: boolean};
+
+function createSelector(answers: Readonly<Record<string, Answer>>, options: Partial<EndpointSelectorOptions<ProbedConnection>> = {}) {
+	const held = new Set<string>();
+	const asked: string[] = [];
+	const endpoints: DirectoryEndpoint[] = Object.entries(answers).map(([id, {domain = 'a'}]) => ({
+		id, address: id, service: 's', failureDomain: domain, slots: 3, isDraining: false, startedAt: 1, sequence: 1, coldMilliseconds: 0, coldUntil: 0, missingSince: undefined,
+	}));
+	const selector = new EndpointSelector<ProbedConnection>({
+		clock: () => 1000,
+		failureDomain: 'a',
+		listEndpoints: () => endpoints,
+		async sendProbe({id}) {
+			asked.push(id);
+			const {verdict = ProbeVerdict.healthy, running = 0, waiting = 0, slots = 3, slowness = 1, silent = false} = answers[id]!;
+			if (silent) {
+				await new Promise(() => {/* Never answers. */});
+			}
+
+			held.add(id);
+			return {verdict, report: {running, waiting, slots, slowness}, connection: {release: () => held.delete(id)}};
+		},
+		takeProbe: () => true,
+		draw: () => 0,
+		...options,
+	});
+	const select = async (request: Partial<SelectionRequest> = {}) => selector.select({
+		service: 's', excluded: new Set(), responseBytes: 0, ...request,
+	});
+	return {selector, select, held, asked};
+}
+
+const choices: ReadonlyArray<readonly [title: string, answers: Readonly<Record<string, Answer>>, request: Partial<SelectionRequest>, expected: string]> = [
+	['a fast endpoint rather than a slow one', {slow: {slowness: 4}, fast: {}}, {}, 'fast'],
+	['an endpoint below its knee rather than one that would be full', {full: {running: 2}, free: {running: 1}}, {}, 'free'],
+	['a fast endpoint of another failure domain rather than a slow one', {slow: {slowness: 4}, far: {domain: 'b'}}, {}, 'far'],
+	['the own failure domain for large responses', {slow: {slowness: 4}, far: {domain: 'b'}}, {responseBytes: 90_000}, 'slow'],
+	['the endpoint that answers rather than one that is silent', {silent: {silent: true}, alive: {slowness: 2}}, {}, 'alive'],
+	['an endpoint that is healthy', {leaving: {verdict: ProbeVerdict.unhealthy}, well: {slowness: 3}}, {}, 'well'],
+	['one that says it is unhealthy rather than none', {ill: {verdict: ProbeVerdict.unhealthy}, gone: {verdict: ProbeVerdict.unreachable}}, {}, 'ill'],
+	['another one than those that were tried', {first: {}, second: {slowness: 2}}, {excluded: new Set(['first'])}, 'second'],
+];
+
+for (const [title, answers, request, expected] of choices) {
+	test(`chooses ${title}`, async t => {
+		const {select, held} = createSelector(answers);
+		const selection = await select(request);
+		t.match(selection, {endpoint: {id: expected}});
+		t.same([...held], [expected], 'the connections of the others are given back');
+	});
+}
+
+test('guards against a choice of an address that another server has taken over', async t => {
+	const {select} = createSelector({replaced: {verdict: ProbeVerdict.replaced}});
+	t.match(await select(), {kind: 'full'});
+});
+
+test('guards against requests that wait for nothing: failures order endpoints but keep none from work', async t => {
+	const {selector, select} = createSelector({bad: {}});
+	const record = selector.getRecord({id: 'bad', startedAt: 1});
+	record.recordFailure(1000);
+	record.recordFailure(1000);
+	t.match(await select({worstRating: 1.4}), {endpoint: {id: 'bad'}});
+});
+
+test('gives up where only slow endpoints are left, without holding their connections', async t => {
+	const {select, held} = createSelector({slow: {slowness: 4}});
+	t.match(await select({worstRating: 1.4}), {kind: 'slow'});
+	t.equal(held.size, 0);
+});
+
+test('without a probe to spare the last reports decide', async t => {
+	const {selector, select, asked} = createSelector({slow: {}, fast: {}}, {takeProbe: () => false});
+	selector.getRecord({id: 'slow', startedAt: 1}).updateReport({
+		running: 0, waiting: 0, slots: 3, slowness: 4,
+	}, 900);
+	t.match(await select(), {endpoint: {id: 'fast'}, connection: undefined});
+	t.equal(asked.length, 0);
+});
+
+test('asks no other failure domain while the own one has a good endpoint', async t => {
+	const {select, asked} = createSelector({a: {}, b: {}, c: {domain: 'b'}, d: {domain: 'b'}});
+	await select();
+	t.same(asked.sort(), ['a', 'b']);
+});
+
+test('the request that has waited longest looks again when an endpoint reports room', async t => {
+	const {selector} = createSelector({e: {}});
+	const endpoint = {
+		id: 'e', address: 'e', service: 's', failureDomain: 'a', slots: 3, isDraining: false, startedAt: 1, sequence: 1, coldMilliseconds: 0, coldUntil: 0, missingSince: undefined,
+	};
+	const woken: string[] = [];
+	selector.waitReport('s', () => woken.push('first'));
+	const endSecond = selector.waitReport('s', () => woken.push('second'));
+	selector.updateReport(endpoint, {
+		running: 3, waiting: 0, slots: 3, slowness: 1,
+	});
+	t.same(woken, [], 'a full endpoint wakes nobody');
+	selector.updateReport(endpoint, {
+		running: 1, waiting: 0, slots: 3, slowness: 1,
+	});
+	t.same(woken, ['first']);
+	endSecond();
+	selector.updateReport(endpoint, {
+		running: 0, waiting: 0, slots: 3, slowness: 1,
+	});
+	t.same(woken, ['first'], 'a request that no longer waits is not woken');
+});
+
+test('an endpoint that has just reported room is taken without a probe', async t => {
+	const {selector, select, asked} = createSelector({a: {}, b: {}});
+	selector.getRecord({id: 'b', startedAt: 1}).updateReport({
+		running: 0, waiting: 0, slots: 3, slowness: 1,
+	}, 995);
+	t.match(await select(), {endpoint: {id: 'b'}, reason: {probes: 0}});
+	t.equal(asked.length, 0);
+});
--- a/packages/stand-ins/src/stand-in-routed-endpoint.ts
+++ b/packages/stand-ins/src/stand-in-routed-endpoint.ts
@@ -60,6 +60,12 @@
 		socket.write(`HTTP/1.1 200 OK\r\nconnection: close\r\nx-attempt-id: ${id}\r\nx-server-seal: 1.2.3\r\n\r\nhalf of`);
 		setTimeout(() => socket.resetAndDestroy(), 20);
 	},
+	/** A body without a length whose last bytes and reset arrive together. */
+	resetUnframed: ({id}, _, socket) => {
+		socket.write(`HTTP/1.1 200 OK\r\nconnection: close\r\nx-attempt-id: ${id}\r\nx-server-seal: 1.2.3\r\n\r\nhalf of`, () => {
+			socket.resetAndDestroy();
+		});
+	},
 	/** A body without a length that ends with its connection. */
 	serveUnframed: ({id}, _, socket) => {
 		socket.end(`HTTP/1.1 200 OK\r\nconnection: close\r\nx-attempt-id: ${id}\r\nx-server-seal: 1.2.3\r\n\r\nwhole`);
