fix(membership): keep lapsed endpoints only after an outage of the registry itself

Ruled out: late news from the store; all hosts with a path to it removed the endpoint within 0.74 s.

Change: the rate at which the registry changes tells an outage from a cut; entries that are missing after a cut are gone at once; after an outage they stay 1.5 s.

--- a/packages/cli/src/edge-host.ts
+++ b/packages/cli/src/edge-host.ts
@@ -182,8 +182,11 @@
 			onOutage: () => {
 				this.#routes.refresh();
 			},
-			onOutageEnd: () => {
-				this.#directory.handleOutageEnd();
+			onOutageEnd: wasAway => {
+				this.#routes.refresh();
+				if (wasAway) {
+					this.#directory.handleOutageEnd();
+				}
 			},
 		});
 	}
--- a/packages/membership/src/endpoint-follower.ts
+++ b/packages/membership/src/endpoint-follower.ts
@@ -13,8 +13,13 @@
 	readonly onListing: (endpoints: readonly E[]) => void;
 	/** Called when a call has failed after one that succeeded. */
 	readonly onOutage: () => void;
-	/** Called with the first success after failures, before its listing. */
-	readonly onOutageEnd: () => void;
+	/**
+	 * Called with the first success after failures, before its listing.
+	 *
+	 * @param wasAway - Whether the registry itself was away, so that entries of live endpoints may have lapsed; false when
+	 * only this host could not reach it.
+	 */
+	readonly onOutageEnd: (wasAway: boolean) => void;
 	/** Time between two listings, in milliseconds. */
 	readonly intervalMilliseconds: number;
 	/** First pause after a failed call, in milliseconds; doubled up to the longest. */
@@ -23,7 +28,13 @@
 };
 
 /** Defaults of {@link EndpointFollowerOptions}. */
-export const defaultEndpointFollowerOptions = {intervalMilliseconds: 1100, retryMilliseconds: 250, maximumRetryMilliseconds: 1000};
+export const defaultEndpointFollowerOptions = {intervalMilliseconds: 1100, retryMilliseconds: 200, maximumRetryMilliseconds: 500};
+
+/** Part of the usual changes below which the registry was away for most of the time. */
+const awayShare = 0.6;
+
+/** Weight of the newest interval in the usual rate of changes. */
+const newestWeight = 0.2;
 
 /** Reads the registry of endpoints again and again. */
 export class EndpointFollower<E> {
@@ -32,6 +43,10 @@
 	#isConnected = true;
 	#readAt = -Infinity;
 	#unreadable = 0;
+	/** Version of the registry at the last reading. */
+	#version = 0;
+	/** Usual changes of the registry in a millisecond; endpoints that send heartbeats change it all the time. */
+	#changeRate: number | undefined;
 
 	constructor(options: Partial<EndpointFollowerOptions<E>> & Omit<EndpointFollowerOptions<E>, keyof typeof defaultEndpointFollowerOptions>) {
 		this.#options = {...defaultEndpointFollowerOptions, ...options};
@@ -56,11 +71,12 @@
 			}
 
 			pause = retryMilliseconds;
-			this.#readAt = this.#options.clock();
+			const share = this.#measureChanges(result.value.version);
 			if (!this.#isConnected) {
 				this.#isConnected = true;
-				logger.log(LogLevel.info, 'dependency-regained', {dependency: 'endpoint-registry'});
-				onOutageEnd();
+				const wasAway = share < awayShare;
+				logger.log(LogLevel.info, 'dependency-regained', {dependency: 'endpoint-registry', changeShare: Number(share.toFixed(2)), wasAway});
+				onOutageEnd(wasAway);
 			}
 
 			this.#logUnreadable(result.value.unreadable);
@@ -74,6 +90,21 @@
 		this.#isStopped = true;
 	}
 
+	/** Compares the changes since the last reading with the usual rate, which is learned while readings succeed. */
+	#measureChanges(version: number): number {
+		const now = this.#options.clock();
+		const elapsed = Math.max(1, now - this.#readAt);
+		const rate = (version - this.#version) / elapsed;
+		const usual = this.#changeRate;
+		if (this.#isConnected && Number.isFinite(elapsed)) {
+			this.#changeRate = usual === undefined ? rate : usual + (newestWeight * (rate - usual));
+		}
+
+		this.#version = version;
+		this.#readAt = now;
+		return usual === undefined || usual <= 0 ? 0 : rate / usual;
+	}
+
 	#logUnreadable(unreadable: number): void {
 		if (unreadable !== this.#unreadable) {
 			this.#unreadable = unreadable;
--- a/packages/membership/src/platform-sources.ts
+++ b/packages/membership/src/platform-sources.ts
@@ -22,6 +22,8 @@
 	readonly endpoints: readonly E[];
 	/** Entries that do not describe an endpoint. */
 	readonly unreadable: number;
+	/** Version of the registry, which rises with each change of any entry. */
+	readonly version: number;
 };
 
 /** Where endpoints register themselves. */
--- a/packages/membership/src/route-follower.ts
+++ b/packages/membership/src/route-follower.ts
@@ -20,7 +20,7 @@
 };
 
 /** Defaults of {@link RouteFollowerOptions}. */
-export const defaultRouteFollowerOptions = {waitMilliseconds: 12_000, retryMilliseconds: 250, maximumRetryMilliseconds: 1000};
+export const defaultRouteFollowerOptions = {waitMilliseconds: 12_000, retryMilliseconds: 250, maximumRetryMilliseconds: 2000};
 
 /** Keeps the newest configuration of routes in force; an older one never replaces it. */
 export class RouteFollower {
@@ -70,12 +70,12 @@
 			}
 
 			this.#handleFailure(result.error);
-			await wait(result.error.id === 'table-history-lost' ? 0 : pause);
+			await waitUntil(result.error.id === 'table-history-lost' ? 0 : pause, signal);
 			pause = Math.min(maximumRetryMilliseconds, pause * 2);
 		}
 	}
 
-	/** Reads the configuration anew, because the connection of the waiting call may be lost. */
+	/** Reads the configuration anew at once, because the connection of the waiting call may be lost or the source is back. */
 	refresh(): void {
 		this.#waiting?.abort();
 	}
@@ -118,3 +118,11 @@
 		}
 	}
 }
+
+async function waitUntil(milliseconds: number, signal: AbortSignal): Promise<void> {
+	try {
+		await wait(milliseconds, undefined, {signal});
+	} catch {
+		// The wait was cut short by a refresh.
+	}
+}
--- /dev/null
+++ b/packages/membership/tests/route-follower.test.ts
@@ -0,0 +1,100 @@
+import {setTimeout as wait} from 'node:timers/promises';
+import {err, errAsync, ok, okAsync, ResultAsync} from 'neverthrow';
+import {test} from 'tap';
+import type {RouteTable} from '@tanagerrail/configuration';
+import {createFailure, type Failure} from '@tanagerrail/results';
+import {readMonotonicClock} from '@tanagerrail/telemetry';
+import type {RouteRevision, RouteSource} from '../src/platform-sources.js';
+import {RouteFollower} from '../src/route-follower.js';
+
+function buildTable(revision: number): RouteTable {
+	return {
+		revision, routes: [], services: [], limits: {
+			headerBytes: 1, bodyBytes: 1, headersMilliseconds: 1, idleMilliseconds: 1,
+		},
+	};
+}
+
+function startFollower(source: RouteSource) {
+	const applied: number[] = [];
+	const follower = new RouteFollower({
+		source, clock: readMonotonicClock, onApplied: ({revision}) => applied.push(revision), waitMilliseconds: 50, retryMilliseconds: 5, maximumRetryMilliseconds: 10,
+	});
+	return {applied, follower, running: follower.run()};
+}
+
+test('guards against a configuration that goes back to an older one', async t => {
+	const revisions: Array<RouteRevision['table']> = [ok(buildTable(4)), ok(buildTable(3)), err(createFailure('configuration-malformed', {reason: 'test'})), ok(buildTable(4)), ok(buildTable(9))];
+	let cursor = 0;
+	const read = () => {
+		const table = revisions.shift();
+		cursor += 1;
+		return okAsync<RouteRevision, Failure>({cursor, table});
+	};
+
+	const {applied, follower, running} = startFollower({
+		readRoutes: read,
+		waitRoutes: () => new ResultAsync((async () => {
+			await wait(5);
+			return read();
+		})()),
+	});
+	await wait(120);
+	follower.stop();
+	await running;
+	t.same(applied, [4, 9]);
+	t.equal(follower.current?.table.revision, 9);
+});
+
+test('guards against a waiting call whose connection is lost without a sign', async t => {
+	let reads = 0;
+	const {applied, follower, running} = startFollower({
+		readRoutes() {
+			reads += 1;
+			return okAsync({cursor: reads, table: ok(buildTable(reads))});
+		},
+		// The call never ends by itself.
+		waitRoutes: (_, {signal}) => new ResultAsync(new Promise(resolve => {
+			signal!.addEventListener('abort', () => {
+				resolve(err(createFailure('table-unavailable', {reason: 'test'})));
+			});
+		})),
+	});
+	await wait(30);
+	t.same(applied, [1]);
+	follower.refresh();
+	await wait(30);
+	t.same(applied, [1, 2]);
+	follower.stop();
+	await running;
+});
+
+test('changes that the source has forgotten are made up for by a full reading', async t => {
+	let reads = 0;
+	const {applied, follower, running} = startFollower({
+		readRoutes() {
+			reads += 1;
+			return okAsync({cursor: reads, table: ok(buildTable(reads))});
+		},
+		waitRoutes: () => new ResultAsync(wait(10).then(() => err(createFailure('table-history-lost')))),
+	});
+	await wait(60);
+	follower.stop();
+	await running;
+	t.ok(applied.length > 2);
+});
+
+test('a source that fails is asked again until it answers', async t => {
+	let calls = 0;
+	const {applied, follower, running} = startFollower({
+		readRoutes() {
+			calls += 1;
+			return calls < 4 ? errAsync(createFailure('table-throttled')) : okAsync({cursor: 1, table: ok(buildTable(1))});
+		},
+		waitRoutes: (_, {signal}) => new ResultAsync(wait(1000, ok({cursor: 1, table: undefined}), {signal}).catch(() => err(createFailure('table-throttled')))),
+	});
+	await wait(150);
+	t.same(applied, [1]);
+	follower.stop();
+	await running;
+});
--- a/packages/routing/src/endpoint-directory.ts
+++ b/packages/routing/src/endpoint-directory.ts
@@ -40,7 +40,7 @@
 };
 
 /** Defaults of {@link EndpointDirectoryOptions}. */
-export const defaultEndpointDirectoryOptions = {lapseMilliseconds: 2200};
+export const defaultEndpointDirectoryOptions = {lapseMilliseconds: 1500};
 
 /** The endpoints of all services, as far as the registry has told. */
 export class EndpointDirectory {
