--- a/packages/http/src/exchange.ts
+++ b/packages/http/src/exchange.ts
@@ -2,6 +2,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import type {Dispatcher} from 'undici';
 import type {Connection, ConnectionPool} from './connection-pool.js';
+import {Deferred} from './deferred.js';
 import type {HeaderFields} from './forwarded-headers.js';
 
 /** A request as it goes over one connection. */
@@ -55,11 +56,11 @@
 
 /** One request and its response over one connection. The connection returns to its pool when the response has ended. */
 export class Exchange {
-	/** Resolves with the response, complete or up to the buffer's size, or with the failure; never rejects. */
-	readonly result: Promise<Result<ExchangeResponse, ExchangeFailure>>;
 	readonly #options: ExchangeOptions;
 	readonly #chunks: Buffer[] = [];
-	#resolve: (result: Result<ExchangeResponse, ExchangeFailure>) => void = () => undefined;
+	readonly #result = new Deferred<Result<ExchangeResponse, ExchangeFailure>>();
+	/** Resolved when the body has ended, with whether it is whole. */
+	readonly #rest = new Deferred<boolean>();
 	#head: ResponseHead | undefined;
 	#wasSent = false;
 	#receivedBytes = 0;
@@ -67,20 +68,17 @@
 	#isEnded = false;
 	#controller: Dispatcher.DispatchController | undefined;
 	#write: WriteChunk | undefined;
-	#endRest: (isWhole: boolean) => void = () => undefined;
-	/** Resolves when the body has ended, with whether it is whole. */
-	readonly #rest = new Promise<boolean>(resolve => {
-		this.#endRest = resolve;
-	});
 
 	constructor(options: ExchangeOptions) {
 		this.#options = options;
-		this.result = new Promise(resolve => {
-			this.#resolve = resolve;
-		});
 		this.#start();
 	}
 
+	/** Resolves with the response, complete or up to the buffer's size, or with the failure; never rejects. */
+	get result(): Promise<Result<ExchangeResponse, ExchangeFailure>> {
+		return this.#result.promise;
+	}
+
 	/** Breaks the exchange off and closes its connection. */
 	abort(): void {
 		if (!this.#isEnded) {
@@ -172,7 +170,7 @@
 		}
 
 		this.#handOver(true);
-		this.#endRest(true);
+		this.#rest.resolve(true);
 	}
 
 	#fail({message}: Error): void {
@@ -180,12 +178,12 @@
 		this.#isEnded = true;
 		pool.drop(connection);
 		if (this.#isHandedOver) {
-			this.#endRest(false);
+			this.#rest.resolve(false);
 			return;
 		}
 
 		this.#isHandedOver = true;
-		this.#resolve(err({wasSent: this.#wasSent, reason: message}));
+		this.#result.resolve(err({wasSent: this.#wasSent, reason: message}));
 	}
 
 	#handOver(isComplete: boolean): void {
@@ -194,7 +192,7 @@
 		}
 
 		this.#isHandedOver = true;
-		this.#resolve(ok({
+		this.#result.resolve(ok({
 			...this.#head!, isComplete, body: Buffer.concat(this.#chunks.splice(0)), streamRest: async write => this.#streamRest(write),
 		}));
 	}
@@ -206,7 +204,7 @@
 		}
 
 		this.#scheduleResume();
-		return this.#rest;
+		return this.#rest.promise;
 	}
 }
 
--- a/packages/http/src/routed-attempts.ts
+++ b/packages/http/src/routed-attempts.ts
@@ -3,8 +3,11 @@
 import {createFailure, Outcome, type Failure} from '@tanagerrail/results';
 import type {DirectoryEndpoint, Selection, SelectionRefusal} from '@tanagerrail/routing';
 import {createLogger, LogLevel} from '@tanagerrail/telemetry';
+import {Deferred} from './deferred.js';
+import {EndpointWait} from './endpoint-wait.js';
 import {Exchange} from './exchange.js';
 import type {HeldConnection} from './probe-client.js';
+import {logChoice} from './log-choice.js';
 import {AttemptEnd, readAttemptEnd, type EndedAttempt} from './read-attempt-end.js';
 import type {RoutedContext} from './routed-context.js';
 import type {RoutedRequest, RoutedResponse} from './routed-request.js';
@@ -21,9 +24,6 @@
 /** Body bytes that are received before a response is passed on, so that one that breaks off can be repeated. */
 const bufferBytes = 1_048_576;
 
-/** Time after which a host that found no good endpoint looks again, in milliseconds. */
-const reselectMilliseconds = 25;
-
 /** Longest silence of a kept connection that is used without a probe, in milliseconds. */
 const unprobedSilence = 50;
 
@@ -62,8 +62,8 @@
 	readonly #tried = new Set<string>();
 	readonly #timers = new Set<NodeJS.Timeout>();
 	readonly #wakes: Wake[] = [];
-	#resolveWake: (() => void) | undefined;
-	#endWait: () => void = () => undefined;
+	#wakeSignal = new Deferred<void>();
+	#waiting: EndpointWait | undefined;
 	#sent = 0;
 	#selections = 0;
 	#mayHaveRun = false;
@@ -189,21 +189,13 @@
 
 	/** Looks again when an endpoint reports room, or after a while. */
 	#waitForEndpoint(): void {
-		let isResumed = false;
-		const resume = () => {
-			if (!isResumed) {
-				isResumed = true;
-				this.#endWait();
-				this.#notify({kind: 'resume'});
-			}
-		};
+		this.#waiting = new EndpointWait(this.#context.selector, this.#request.service);
+		void this.#resumeAfter(this.#waiting);
+	}
 
-		const timer = setTimeout(resume, reselectMilliseconds);
-		const endWait = this.#context.selector.waitReport(this.#request.service, resume);
-		this.#endWait = () => {
-			clearTimeout(timer);
-			endWait();
-		};
+	async #resumeAfter(waiting: EndpointWait): Promise<void> {
+		await waiting.ended;
+		this.#notify({kind: 'resume'});
 	}
 
 	#handleNothingLeft(): Result<RoutedResponse, Failure> | undefined {
@@ -289,7 +281,7 @@
 		const {id, method, target, headers, body, timeoutAt} = this.#request;
 		const {endpoint, record, connection: held} = selection;
 		const startedAt = clock();
-		this.#logChoice(selection);
+		logChoice(this.#request, selection, {attempt: this.#sent + 1, remaining: timeoutAt - startedAt});
 		this.#tried.add(endpoint.id);
 		this.#sent += 1;
 		const pool = held?.pool ?? connections.get(endpoint.address);
@@ -335,15 +327,6 @@
 		});
 	}
 
-	#logChoice({endpoint, reason}: Selection<HeldConnection>): void {
-		const {id, service, revision, timeoutAt} = this.#request;
-		const {rating, report, probes, milliseconds, isLastResort} = reason;
-		logger.log(LogLevel.info, 'endpoint-chosen', {
-			request: id, service, revision, endpoint: endpoint.id, attempt: this.#sent + 1, rating: Number(rating.toFixed(2)), report,
-			probes, selectionMilliseconds: Math.round(milliseconds), remaining: Math.round(timeoutAt - this.#context.clock()), ...(isLastResort && {isLastResort}),
-		});
-	}
-
 	/** A second attempt has to start early enough to end within the objective. */
 	#scheduleHedge(startedAt: number): void {
 		const {route, arrivedAt} = this.#request;
@@ -367,9 +350,8 @@
 
 	async #waitWake(): Promise<Wake> {
 		while (this.#wakes.length === 0) {
-			await new Promise<void>(resolve => {
-				this.#resolveWake = resolve;
-			});
+			this.#wakeSignal = new Deferred();
+			await this.#wakeSignal.promise;
 		}
 
 		return this.#wakes.shift()!;
@@ -377,13 +359,13 @@
 
 	#notify(wake: Wake): void {
 		this.#wakes.push(wake);
-		this.#resolveWake?.();
+		this.#wakeSignal.resolve();
 	}
 
 	/** Cancels what is still running; endpoints drop a request when its connection closes. */
 	#close(): void {
 		this.#isClosed = true;
-		this.#endWait();
+		this.#waiting?.cancel();
 		for (const timer of this.#timers) {
 			clearTimeout(timer);
 		}
--- a/packages/http/src/routed-receiver.ts
+++ b/packages/http/src/routed-receiver.ts
@@ -109,7 +109,7 @@
 		}
 
 		res.write(body);
-		const isWhole = await streamRest(chunk => {
+		const isWhole = await streamRest(async chunk => {
 			if (res.destroyed) {
 				abort();
 				return undefined;
--- a/packages/routing/src/endpoint-selector.ts
+++ b/packages/routing/src/endpoint-selector.ts
@@ -53,6 +53,8 @@
 export type SelectionReason = {
 	readonly rating: number;
 	readonly report: EndpointReport | undefined;
+	/** Age of the report in milliseconds. */
+	readonly reportAge: number;
 	/** Number of probes sent for the selection. */
 	readonly probes: number;
 	/** Time that the selection took, in milliseconds. */
@@ -393,7 +395,7 @@
 			return {
 				endpoint, record, connection,
 				reason: {
-					rating, report: record.report, probes, milliseconds, isLastResort: chosen !== healthy,
+					rating, report: record.report, reportAge: this.#options.clock() - record.reportedAt, probes, milliseconds, isLastResort: chosen !== healthy,
 				},
 			};
 		}
--- a/packages/stand-ins/src/stand-in-routed-endpoint.ts
+++ b/packages/stand-ins/src/stand-in-routed-endpoint.ts
@@ -1,4 +1,6 @@
-import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
 
 /** A request that the endpoint received. */
@@ -30,7 +32,7 @@
 /** Ready behaviours of {@link StandInRoutedEndpoint}. */
 export const routedBehaviours = {
 	/** A whole response. */
-	serve: ({id, target}, res) => {
+	serve({id, target}, res) {
 		res.writeHead(200, {'x-attempt-id': id, ...sealHeader}).end(`ran ${target}`);
 	},
 	/** Refuses without running the request. */
@@ -44,7 +46,7 @@
 	/** Never responds. */
 	hang() {/* No answer. */},
 	/** Fails with its own error. */
-	fail: ({id}, res) => {
+	fail({id}, res) {
 		res.writeHead(500, {'x-attempt-id': id, ...sealHeader}).end('failed');
 	},
 	/** Responds to another request. */
@@ -52,30 +54,30 @@
 		res.writeHead(200, {'x-attempt-id': 'another', ...sealHeader}).end('not yours');
 	},
 	/** A success that no server has sealed. */
-	forge: ({id}, res) => {
+	forge({id}, res) {
 		res.writeHead(200, {'x-attempt-id': id}).end('forged');
 	},
 	/** A body without a length that is reset on the way. */
-	cutUnframed: ({id}, _, socket) => {
+	cutUnframed({id}, _, socket) {
 		socket.write(`HTTP/1.1 200 OK\r\nconnection: close\r\nx-attempt-id: ${id}\r\nx-server-seal: 1.2.3\r\n\r\nhalf of`);
 		setTimeout(() => socket.resetAndDestroy(), 20);
 	},
 	/** A body without a length whose last bytes and reset arrive together. */
-	resetUnframed: ({id}, _, socket) => {
+	resetUnframed({id}, _, socket) {
 		socket.write(`HTTP/1.1 200 OK\r\nconnection: close\r\nx-attempt-id: ${id}\r\nx-server-seal: 1.2.3\r\n\r\nhalf of`, () => {
 			socket.resetAndDestroy();
 		});
 	},
 	/** A body without a length that ends with its connection. */
-	serveUnframed: ({id}, _, socket) => {
+	serveUnframed({id}, _, socket) {
 		socket.end(`HTTP/1.1 200 OK\r\nconnection: close\r\nx-attempt-id: ${id}\r\nx-server-seal: 1.2.3\r\n\r\nwhole`);
 	},
 	/** A chunked body that breaks off. */
-	cutChunked: ({id}, _, socket) => {
+	cutChunked({id}, _, socket) {
 		socket.end(`HTTP/1.1 200 OK\r\nconnection: close\r\ntransfer-encoding: chunked\r\nx-attempt-id: ${id}\r\nx-server-seal: 1.2.3\r\n\r\n5\r\nhalf \r\n`);
 	},
 	/** A whole response, followed later by another one that nobody asked for. */
-	serveTwice: ({id}, res, socket) => {
+	serveTwice({id}, res, socket) {
 		res.writeHead(200, {'x-attempt-id': id, ...sealHeader}).end('first');
 		setTimeout(() => {
 			if (!socket.destroyed) {
@@ -162,7 +164,7 @@
 	}
 
 	/** Leaves all open connections silent for good, while new ones work. */
-	silenceConnections(): void {
+	pauseConnections(): void {
 		for (const socket of this.#sockets) {
 			socket.pause();
 			socket.removeAllListeners('data');
--- a/packages/stand-ins/src/stand-in-row-store.ts
+++ b/packages/stand-ins/src/stand-in-row-store.ts
@@ -1,4 +1,6 @@
-import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
 
 /** A row as the store keeps it. */
@@ -89,7 +91,9 @@
 	 */
 	put(table: string, key: string, value: unknown): void {
 		const text = typeof value === 'string' ? value : JSON.stringify(value);
-		this.#write({table, part: '', key, value: Buffer.from(text).toString('base64')});
+		this.#write({
+			table, part: '', key, value: Buffer.from(text).toString('base64'),
+		});
 		this.#wake();
 	}
 
@@ -100,13 +104,13 @@
 	 * @param key - Key of the row, in the empty part.
 	 */
 	remove(table: string, key: string): void {
-		const row = this.#rows.get(identify(table, '', key));
+		const row = this.#rows.get(formatRowId(table, '', key));
 		if (!row) {
 			return;
 		}
 
 		this.#version += 1;
-		this.#rows.delete(identify(table, '', key));
+		this.#rows.delete(formatRowId(table, '', key));
 		this.#changes.push({...row, row_version: this.#version, deleted: true});
 		this.#wake();
 	}
@@ -200,9 +204,9 @@
 		}
 
 		const {expected, writes} = JSON.parse(Buffer.concat(chunks).toString()) as {expected: StoredRow[]; writes: StoredRow[]};
-		const isMet = expected.every(({table, part, key, row_version: version}) => (this.#rows.get(identify(table, part, key))?.row_version ?? 0) === version);
+		const isMet = expected.every(({table, part, key, row_version: version}) => (this.#rows.get(formatRowId(table, part, key))?.row_version ?? 0) === version);
 		if (!isMet) {
-			this.#respond(res, 412, {rows: expected.map(({table, part, key}) => this.#rows.get(identify(table, part, key))).filter(Boolean)});
+			this.#respond(res, 412, {rows: expected.map(({table, part, key}) => this.#rows.get(formatRowId(table, part, key))).filter(Boolean)});
 			return;
 		}
 
@@ -217,7 +221,7 @@
 	#write(row: Omit<StoredRow, 'row_version'>): void {
 		this.#version += 1;
 		const stored = {...row, row_version: this.#version};
-		this.#rows.set(identify(row.table, row.part, row.key), stored);
+		this.#rows.set(formatRowId(row.table, row.part, row.key), stored);
 		this.#changes.push(stored);
 	}
 
@@ -235,6 +239,6 @@
 	}
 }
 
-function identify(table: string, part: string, key: string): string {
+function formatRowId(table: string, part: string, key: string): string {
 	return `${table}\0${part}\0${key}`;
 }
--- a/packages/telemetry/src/text-metrics.ts
+++ b/packages/telemetry/src/text-metrics.ts
@@ -7,27 +7,47 @@
 export class TextMetrics {
 	readonly #registry = new Registry();
 	readonly #requests = new Counter({
-		name: 'tanagerrail_requests_total', help: 'Requests of callers that have ended, by route and status', labelNames: ['route', 'status'], registers: [this.#registry],
+		name: 'tanagerrail_requests_total',
+		help: 'Requests of callers that have ended, by route and status',
+		labelNames: ['route', 'status'],
+		registers: [this.#registry],
 	});
 
 	readonly #requestMilliseconds = new Histogram({
-		name: 'tanagerrail_request_duration_milliseconds', help: 'Time from the arrival of a request to the end of its response', labelNames: ['route'], buckets: latencyBuckets, registers: [this.#registry],
+		name: 'tanagerrail_request_duration_milliseconds',
+		help: 'Time from the arrival of a request to the end of its response',
+		labelNames: ['route'],
+		buckets: latencyBuckets,
+		registers: [this.#registry],
 	});
 
 	readonly #attempts = new Counter({
-		name: 'tanagerrail_attempts_total', help: 'Attempts at endpoints, by service and end', labelNames: ['service', 'end'], registers: [this.#registry],
+		name: 'tanagerrail_attempts_total',
+		help: 'Attempts at endpoints, by service and end',
+		labelNames: ['service', 'end'],
+		registers: [this.#registry],
 	});
 
 	readonly #attemptMilliseconds = new Histogram({
-		name: 'tanagerrail_attempt_duration_milliseconds', help: 'Time from sending an attempt to its end', labelNames: ['service'], buckets: latencyBuckets, registers: [this.#registry],
+		name: 'tanagerrail_attempt_duration_milliseconds',
+		help: 'Time from sending an attempt to its end',
+		labelNames: ['service'],
+		buckets: latencyBuckets,
+		registers: [this.#registry],
 	});
 
 	readonly #selections = new Counter({
-		name: 'tanagerrail_selections_total', help: 'Choices of an endpoint, by service and result', labelNames: ['service', 'result'], registers: [this.#registry],
+		name: 'tanagerrail_selections_total',
+		help: 'Choices of an endpoint, by service and result',
+		labelNames: ['service', 'result'],
+		registers: [this.#registry],
 	});
 
 	readonly #probes = new Counter({
-		name: 'tanagerrail_probes_total', help: 'Probes sent, by service', labelNames: ['service'], registers: [this.#registry],
+		name: 'tanagerrail_probes_total',
+		help: 'Probes sent, by service',
+		labelNames: ['service'],
+		registers: [this.#registry],
 	});
 
 	/** Media type of the text. */
