--- a/packages/cli/src/edge-host.ts
+++ b/packages/cli/src/edge-host.ts
@@ -32,7 +32,7 @@
 const closingMilliseconds = 300;
 
 /** Part of the probes that the endpoints allow which is used. */
-const usableProbes = 0.8;
+const usableProbes = 0.6;
 
 /** A host between callers and the endpoints that register in the platform's store. */
 export class EdgeHost {
--- a/packages/routing/src/probe-budget.ts
+++ b/packages/routing/src/probe-budget.ts
@@ -8,7 +8,7 @@
 };
 
 /** Time for which unused probes are saved up, in seconds; the budget holds over longer times. */
-const savedSeconds = 10;
+const savedSeconds = 20;
 
 type ServiceTokens = {tokens: number; filledAt: number};
 
