--- a/packages/http/src/routed-attempts.ts
+++ b/packages/http/src/routed-attempts.ts
@@ -69,8 +69,6 @@
 	#mayHaveRun = false;
 	#isSelecting = false;
 	#isClosed = false;
-	/** Whether any endpoint that is not full will do. */
-	#isUrgent = false;
 	#last: EndedAttempt | undefined;
 
 	constructor(request: RoutedRequest, context: RoutedContext) {
@@ -186,13 +184,6 @@
 			return undefined;
 		}
 
-		if (kind === 'slow' && !this.#isUrgent) {
-			// A late response is worth more to the caller than a refusal.
-			this.#isUrgent = true;
-			this.#startAttempt(false);
-			return undefined;
-		}
-
 		return this.#last ? this.#conclude() : err(createFailure(kind === 'none' ? 'no-endpoint' : 'no-free-slot', {service}));
 	}
 
@@ -258,13 +249,13 @@
 		const {selector, profiles, meter, clock} = this.#context;
 		const {bytes, milliseconds: usual = assumedMilliseconds} = profiles.get(route.name);
 		// Short work on a fast endpoint is over before long work on a slow one, so a short wait for a good endpoint pays.
-		const patience = this.#isUrgent ? Infinity : patienceSlope * (clock() - arrivedAt) / usual;
+		const patience = patienceSlope * (clock() - arrivedAt) / usual;
 		const selected = await selector.select({
 			service,
 			excluded: this.#tried,
 			responseBytes: bytes,
 			worstRating: isSpeculative ? worstHedgeRating : goodRating + patience,
-			...(this.#selections > 0 && !this.#isUrgent && {maximumProbes: reselectProbes}),
+			...(this.#selections > 0 && {maximumProbes: reselectProbes}),
 		});
 		this.#selections += 1;
 		this.#isSelecting = false;
