--- a/packages/cli/src/edge-host.ts
+++ b/packages/cli/src/edge-host.ts
@@ -34,6 +34,9 @@
 /** Part of the probes that the endpoints allow which is used. */
 const usableProbes = 0.6;
 
+/** Part of the time in which a leaving endpoint may still get requests after which the registry is read again. */
+const registryShare = 0.55;
+
 /** A host between callers and the endpoints that register in the platform's store. */
 export class EdgeHost {
 	#settings: EdgeSettings;
@@ -176,6 +179,7 @@
 		return new EndpointFollower<EndpointListing>({
 			source: createEndpointSource(this.#store),
 			clock,
+			intervalMilliseconds: registryShare * this.#settings.bounds.drainMilliseconds,
 			onListing: endpoints => {
 				this.#takeListing(endpoints);
 			},
--- a/packages/cli/src/edge-settings.ts
+++ b/packages/cli/src/edge-settings.ts
@@ -28,7 +28,6 @@
 		retryWindowSeconds: z.number().min(0).meta({description: 'Length of the sliding window of the retry budget', unit: 's'}),
 		shutdownSeconds: z.number().min(1).meta({description: 'Time between the signal to stop and the end of the process', unit: 's'}),
 		drainMilliseconds: millisecondsSchema.meta({description: 'Time after which a leaving endpoint gets no request', unit: 'ms'}),
-		applyMilliseconds: millisecondsSchema.meta({description: 'Time in which a configuration is in force', unit: 'ms'}),
 		probesPerSecond: z.number().min(0).meta({description: 'Probes a second for each endpoint, from all hosts together'}),
 	}),
 	log: z.object({
--- a/packages/cli/src/settings-fields.ts
+++ b/packages/cli/src/settings-fields.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {edgeSettingsSchema} from './edge-settings.js';
 import {settingsSchema} from './settings.js';
 
 /** The parts of a JSON schema that settings use. */
@@ -21,6 +22,9 @@
 /** JSON schema of the settings file. */
 export const settingsJsonSchema = z.toJSONSchema(settingsSchema, {io: 'input'}) as SchemaNode;
 
+/** JSON schema of the settings of an edge host. */
+export const edgeSettingsJsonSchema = z.toJSONSchema(edgeSettingsSchema, {io: 'input'}) as SchemaNode;
+
 /** One field of the settings file. */
 export type SettingsField = {
 	/** Dotted path. */
@@ -37,6 +41,7 @@
 	object: ({properties}) => `a section with ${Object.keys(properties ?? {}).join(', ')}`,
 	array: ({minItems, maxItems, items}) => `a list of ${minItems ?? 0} to ${maxItems ?? 'any number of'} items, each ${describeExpected(items ?? {})}`,
 	string: ({format, minLength}) => format === 'uri' ? 'a URL' : (minLength === undefined ? 'a text' : `a text of at least ${minLength} character${minLength === 1 ? '' : 's'}`),
+	number: ({minimum}) => `a number from ${minimum ?? 'any'}`,
 	integer: ({minimum, maximum}) => `an integer from ${minimum ?? 'any'} to ${maximum === undefined || maximum === Number.MAX_SAFE_INTEGER ? 'any' : maximum}`,
 };
 
@@ -68,10 +73,11 @@
 /**
  * Lists all fields of the settings file that hold a value.
  *
+ * @param schema - Schema of the file; that of an entry host by default.
  * @returns Fields in the order of the schema.
  */
-export function listSettingsFields(): SettingsField[] {
-	return listFields(settingsJsonSchema, '', true);
+export function listSettingsFields(schema: SchemaNode = settingsJsonSchema): SettingsField[] {
+	return listFields(schema, '', true);
 }
 
 function listFields(node: SchemaNode, path: string, isRequired: boolean): SettingsField[] {
--- /dev/null
+++ b/packages/cli/tests/edge-settings.test.ts
@@ -0,0 +1,48 @@
+import fs from 'node:fs';
+import path from 'node:path';
+import {test} from 'tap';
+import {formatFailure} from '@tanagerrail/results';
+import {loadEdgeSettings} from '../src/edge-settings.js';
+
+const valid = `host:
+  id: "h1"
+  failureDomain: "a"
+listen:
+  callers: "10.0.0.1:80"
+  readiness: "10.0.0.1:81"
+  metrics: "10.0.0.1:82"
+readinessPath: /ready
+store:
+  address: "10.0.0.9:83"
+bounds:
+  retryRatio: 0.2
+  retrySlack: 56
+  retryWindowSeconds: 10
+  shutdownSeconds: 6
+  drainMilliseconds: 2000
+  probesPerSecond: 60
+`;
+
+test('accepts settings with fields that a newer platform adds', async t => {
+	const file = path.join(t.testdir({'s.yaml': `${valid}newField: 1\n`}), 's.yaml');
+	t.match(loadEdgeSettings(file)._unsafeUnwrap(), {host: {id: 'h1'}, bounds: {retrySlack: 56}, log: {linesPerSecond: 500}});
+});
+
+const mistakes: ReadonlyArray<readonly [title: string, text: string, message: RegExp]> = [
+	['a bad address', valid.replace('10.0.0.9:83', 'localhost'), /s\.yaml:10: store\.address: found another value/v],
+	['a missing bound', valid.replace('  retrySlack: 56\n', ''), /bounds\.retrySlack: found nothing/v],
+	['no YAML', 'host: [', /found .*, expected valid YAML/v],
+];
+for (const [title, text, message] of mistakes) {
+	test(`names file, line and field of ${title}`, async t => {
+		const file = path.join(t.testdir({'s.yaml': text}), 's.yaml');
+		const [failure] = loadEdgeSettings(file)._unsafeUnwrapErr();
+		t.match(formatFailure(failure!), message);
+		t.ok(fs.existsSync(file));
+	});
+}
+
+test('a file that is not there is one clear line', async t => {
+	const [failure] = loadEdgeSettings('/nowhere/s.yaml')._unsafeUnwrapErr();
+	t.equal(failure!.id, 'settings-unreadable');
+});
--- a/tools/write-pages.mjs
+++ b/tools/write-pages.mjs
@@ -1,5 +1,5 @@
 import fs from 'node:fs';
-import {formatFieldRow, listSettingsFields} from '../packages/cli/dist/src/settings-fields.js';
+import {edgeSettingsJsonSchema, formatFieldRow, listSettingsFields} from '../packages/cli/dist/src/settings-fields.js';
 import {resultCodes} from '../packages/results/dist/src/index.js';
 import {formatMetricRow, metricTable} from '../packages/telemetry/dist/src/index.js';
 import {verbs} from './lint/verbs.js';
@@ -34,6 +34,14 @@
 | field | value | unit | default | meaning |
 |---|---|---|---|---|
 ${listSettingsFields().map(field => formatFieldRow(field)).join('\n')}
+
+## Edge hosts
+
+Settings of \`tanagerrail edge\`, from \`packages/cli/src/edge-settings.ts\`. Fields that are not known are ignored. A change takes effect within a second, but for addresses.
+
+| field | value | unit | default | meaning |
+|---|---|---|---|---|
+${listSettingsFields(edgeSettingsJsonSchema).map(field => formatFieldRow(field)).join('\n')}
 `);
 
 fs.writeFileSync('docs/metrics.md', `# Metrics
