fix(http): close only connections on which no response is due

Node's closeIdleConnections takes a connection as idle once its current response has ended, even if it is not flushed and others wait behind it; it ran at the end of each request during the shutdown.

Ruled out: the mark 'Connection: close', which is set only on the last response that is due on a connection.

--- a/packages/cli/tests/edge-host.test.ts
+++ b/packages/cli/tests/edge-host.test.ts
@@ -235,6 +235,38 @@
 	t.equal([...answers.join('').matchAll(/ran \/reads/gv)].length, 2, 'a request that was passed on is answered');
 });
 
+test('a shutdown waits for a response that is not flushed and for the one behind it', async t => {
+	const {host, endpoints, settings, send} = await startEdge(t, {routes: [{timeout_ms: 6000, target_latency_ms: 6000}]});
+	const large = 8_000_000;
+	for (const endpoint of endpoints.reads!) {
+		endpoint.behaviour = (run, res, socket) => {
+			if (run.target.endsWith('large')) {
+				res.writeHead(200, {'x-attempt-id': run.id, 'x-server-seal': '1'}).end(Buffer.alloc(large, 'x'));
+				return;
+			}
+
+			createSlowBehaviour(run.target.endsWith('behind') ? 3200 : 2600)(run, res, socket);
+		};
+	}
+
+	const kept = openSocket(settings.listen.callers);
+	kept.pause();
+	kept.write(buildHead('/reads/large', 'flush-1') + buildHead('/reads/behind', 'flush-2'));
+	const other = send({path: '/reads/other', deadline: 5000});
+	await waitFor(() => endpoints.reads!.flatMap(({runs}) => runs).length >= 3);
+	const stopped = host.stop();
+	await other;
+	let received = '';
+	kept.on('data', chunk => {
+		received += String(chunk);
+	});
+	kept.resume();
+	await stopped;
+	await wait(50);
+	t.ok(received.length > large, 'the first response is whole');
+	t.match(received.slice(-200), /ran \/reads\/behind/v, 'the one behind it follows');
+});
+
 test('counters and histograms are served as text', async t => {
 	const {send, settings} = await startEdge(t);
 	await send({});
--- a/packages/http/src/caller-listener.ts
+++ b/packages/http/src/caller-listener.ts
@@ -1,5 +1,5 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
-import type {Socket} from 'node:net';
+import {Server as NetServer, type Socket} from 'node:net';
 import {
 	buildProblemDetails, createFailure, getOutcome, problemMediaType, type Failure,
 } from '@tanagerrail/results';
@@ -42,6 +42,7 @@
 	readonly #options: CallerListenerOptions<R>;
 	readonly #server: Server;
 	readonly #uses = new WeakMap<Socket, ConnectionUse>();
+	readonly #open = new Map<Socket, ConnectionUse>();
 	#inProgress = 0;
 	#isDraining = false;
 	#isStopped = false;
@@ -60,6 +61,9 @@
 		this.#server.maxConnections = limits.connections;
 		// Node.js drops the headers above its limit without a notice; their size is limited instead.
 		this.#server.maxHeadersCount = 0;
+		this.#server.on(tls ? 'secureConnection' : 'connection', (socket: Socket) => {
+			this.#getUse(socket);
+		});
 		this.#server.on('request', (req, res) => {
 			void this.#handle(req, res);
 		});
@@ -108,8 +112,12 @@
 	stop(): void {
 		this.#isDraining = true;
 		this.#isStopped = true;
-		this.#server.close();
-		this.#server.closeIdleConnections();
+		// The HTTP server's own close breaks connections whose response has ended but is not flushed, with all that
+		// waits behind it; only the listening socket is closed here.
+		NetServer.prototype.close.call(this.#server);
+		for (const [socket, use] of this.#open) {
+			closeIfIdle(socket, use);
+		}
 	}
 
 	/** Breaks all connections. */
@@ -174,6 +182,10 @@
 			if (!res.writableFinished) {
 				controller.abort();
 			}
+
+			if (this.#isStopped) {
+				closeIfIdle(res.req.socket, use);
+			}
 		});
 		return controller;
 	}
@@ -184,9 +196,6 @@
 		}
 
 		this.#inProgress -= 1;
-		if (this.#isStopped) {
-			this.#server.closeIdleConnections();
-		}
 	}
 
 	#refuse(res: ServerResponse, failure: Failure, {id, beforeHead}: {id: string; beforeHead: () => void}): void {
@@ -217,8 +226,10 @@
 			requests: new Set(), dispatched: 0, isRefused: false, isClosing: false,
 		};
 		this.#uses.set(socket, use);
+		this.#open.set(socket, use);
 		// Responses that wait behind an earlier one are not told by Node.js that their connection is closed.
 		socket.once('close', () => {
+			this.#open.delete(socket);
 			for (const controller of use.requests) {
 				this.#endRequest(use, controller);
 				controller.abort();
@@ -251,3 +262,10 @@
 		});
 	}
 }
+
+/** Ends a connection on which no response is due; bytes that are still being sent are sent first. */
+function closeIfIdle(socket: Socket, {requests}: ConnectionUse): void {
+	if (requests.size === 0) {
+		socket.end();
+	}
+}
