--- a/tools/write-pages.mjs
+++ b/tools/write-pages.mjs
@@ -34,8 +34,9 @@
 | field | value | unit | default | meaning |
 |---|---|---|---|---|
 ${listSettingsFields().map(field => formatFieldRow(field)).join('\n')}
+`);
 
-## Edge hosts
+fs.writeFileSync('docs/edge-settings.md', `# Settings of edge hosts
 
 Settings of \`tanagerrail edge\`, from \`packages/cli/src/edge-settings.ts\`. Fields that are not known are ignored. A change takes effect within a second, but for addresses.
 
