--- a/deploy/start-edge.cjs
+++ b/deploy/start-edge.cjs
@@ -1,7 +1,7 @@
 'use strict';
 
-// Runs the bundle with the compiled code that the build keeps beside it: a process that starts again after a failure
-// spends most of its first half second on compiling. A cache that does not fit this Node.js is ignored by V8.
+// Runs the bundle with the compiled code that the build keeps beside it, because a process that starts again after a
+// failure serves nobody while it compiles. V8 ignores a cache that does not fit it.
 const fs = require('node:fs');
 const {createRequire} = require('node:module');
 const path = require('node:path');
--- a/packages/http/src/caller-listener.ts
+++ b/packages/http/src/caller-listener.ts
@@ -41,8 +41,8 @@
 export class CallerListener<R extends ReceivedRequest> {
 	readonly #options: CallerListenerOptions<R>;
 	readonly #server: Server;
-	readonly #uses = new WeakMap<Socket, ConnectionUse>();
-	readonly #open = new Map<Socket, ConnectionUse>();
+	/** Open connections. */
+	readonly #uses = new Map<Socket, ConnectionUse>();
 	#inProgress = 0;
 	#isDraining = false;
 	#isStopped = false;
@@ -115,7 +115,7 @@
 		// The HTTP server's own close breaks connections whose response has ended but is not flushed, with all that
 		// waits behind it; only the listening socket is closed here.
 		NetServer.prototype.close.call(this.#server);
-		for (const [socket, use] of this.#open) {
+		for (const [socket, use] of this.#uses) {
 			closeIfIdle(socket, use);
 		}
 	}
@@ -226,10 +226,9 @@
 			requests: new Set(), dispatched: 0, isRefused: false, isClosing: false,
 		};
 		this.#uses.set(socket, use);
-		this.#open.set(socket, use);
 		// Responses that wait behind an earlier one are not told by Node.js that their connection is closed.
 		socket.once('close', () => {
-			this.#open.delete(socket);
+			this.#uses.delete(socket);
 			for (const controller of use.requests) {
 				this.#endRequest(use, controller);
 				controller.abort();
--- a/packages/membership/src/route-follower.ts
+++ b/packages/membership/src/route-follower.ts
@@ -29,7 +29,6 @@
 	#isStopped = false;
 	#isConnected = true;
 	#waiting: AbortController | undefined;
-	#newestReadAt = -Infinity;
 
 	constructor(options: Partial<RouteFollowerOptions> & Pick<RouteFollowerOptions, 'source' | 'clock' | 'onApplied'>) {
 		this.#options = {...defaultRouteFollowerOptions, ...options};
@@ -40,11 +39,6 @@
 		return this.#index;
 	}
 
-	/** Time since the source last answered, in milliseconds. */
-	get age(): number {
-		return this.#options.clock() - this.#newestReadAt;
-	}
-
 	/** Follows the source until the follower is stopped. */
 	async run(): Promise<void> {
 		const {source, waitMilliseconds, retryMilliseconds, maximumRetryMilliseconds} = this.#options;
@@ -87,7 +81,6 @@
 	}
 
 	#take({table}: RouteRevision): void {
-		this.#newestReadAt = this.#options.clock();
 		if (!this.#isConnected) {
 			this.#isConnected = true;
 			logger.log(LogLevel.info, 'dependency-regained', {dependency: 'configuration'});
--- a/packages/stand-ins/src/stand-in-routed-endpoint.ts
+++ b/packages/stand-ins/src/stand-in-routed-endpoint.ts
@@ -115,9 +115,6 @@
 	pace = 100;
 	running = 0;
 	probes = 0;
-	/** Whether health requests go unanswered. */
-	isSilent = false;
-	connections = 0;
 	readonly #slots: number;
 	readonly #sockets = new Set<Socket>();
 	readonly #server: Server;
@@ -132,7 +129,6 @@
 		});
 		this.#server.keepAliveTimeout = 10_000;
 		this.#server.on('connection', socket => {
-			this.connections += 1;
 			this.#sockets.add(socket);
 			socket.on('error', () => {/* The behaviour broke the connection itself. */});
 			socket.once('close', () => this.#sockets.delete(socket));
@@ -163,15 +159,6 @@
 		});
 	}
 
-	/** Leaves all open connections silent for good, while new ones work. */
-	pauseConnections(): void {
-		for (const socket of this.#sockets) {
-			socket.pause();
-			socket.removeAllListeners('data');
-			socket.removeAllListeners('readable');
-		}
-	}
-
 	/**
 	 * Builds the endpoint's entry in the registry.
 	 *
@@ -199,10 +186,7 @@
 	async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
 		if (req.url === '/health') {
 			this.probes += 1;
-			if (!this.isSilent) {
-				res.writeHead(this.isHealthy ? 200 : 503, {'x-instance-id': this.healthId, 'x-server-load': this.#load}).end();
-			}
-
+			res.writeHead(this.isHealthy ? 200 : 503, {'x-instance-id': this.healthId, 'x-server-load': this.#load}).end();
 			return;
 		}
 
