test(bench): give each entry host a loopback address of its own

Ruled out: another range of ports (they were below the ephemeral range already) and starting the fleet again with other ports, which hides the cause.

--- a/packages/bench/src/scenarios/fleet.ts
+++ b/packages/bench/src/scenarios/fleet.ts
@@ -6,15 +6,13 @@
 import {
 	StandInHostList, StandInObjectStore, StandInTable, type PlatformUrls, type TargetGroup,
 } from '@tanagerrail/stand-ins';
-import {EntryProcess, pickPorts, type EntryProcessOptions} from '../testbed/index.js';
+import {chooseEntryAddresses, EntryProcess, type EntryAddresses} from '../testbed/index.js';
 import {FleetEndpoint} from './fleet-endpoint.js';
 import {defaultFleetConfiguration, defaultFleetOptions, type FleetOptions} from './fleet-options.js';
 import {RelayMesh} from './relay-mesh.js';
 
 const shownLogLines = 5;
 
-type EntryPorts = EntryProcessOptions['ports'];
-
 /**
  * Entry processes with endpoint and platform stand-ins in this process. Each entry has a host list of its own, so that
  * connections between each two processes pass through a relay that can be cut.
@@ -45,7 +43,7 @@
 	readonly table = new StandInTable();
 	readonly objects = new StandInObjectStore();
 	readonly #hostLists = new Map<string, StandInHostList>();
-	readonly #ports = new Map<string, EntryPorts>();
+	readonly #addresses = new Map<string, EntryAddresses>();
 	readonly #leavingEntries = new Set<string>();
 
 	private constructor(readonly options: FleetOptions) {}
@@ -129,14 +127,13 @@
 			? {table: await this.table.start(), objects: await this.objects.start()}
 			: {};
 		await this.#startEndpoints();
-		const ports = await pickPorts(entries * 3);
 		for (let i = 0; i < entries; i++) {
-			this.#ports.set(`entry-${i}`, {callers: ports[3 * i]!, peers: ports[(3 * i) + 1]!, admin: ports[(3 * i) + 2]!});
+			this.#addresses.set(`entry-${i}`, chooseEntryAddresses());
 		}
 
-		await Promise.all([...this.#ports.keys()].map(async id => this.#addRelays(id, platform)));
+		await Promise.all([...this.#addresses.keys()].map(async id => this.#addRelays(id, platform)));
 		const urls = new Map<string, string>();
-		for (const id of this.#ports.keys()) {
+		for (const id of this.#addresses.keys()) {
 			const list = new StandInHostList({lagMilliseconds: listLagMilliseconds});
 			this.#hostLists.set(id, list);
 			urls.set(id, await list.start());
@@ -145,11 +142,11 @@
 		// The list must be complete before the first entry reads it, or allocators start with a part of the fleet.
 		this.#publishHosts();
 		await waitMilliseconds(listLagMilliseconds + 10);
-		for (const [id, entryPorts] of this.#ports) {
+		for (const [id, addresses] of this.#addresses) {
 			this.entries.set(id, new EntryProcess({
 				id,
 				failureDomain: this.#getFailureDomain(Number(id.split('-')[1])),
-				ports: entryPorts,
+				addresses,
 				hostListUrl: urls.get(id)!,
 				configurationFile,
 				directory: this.directory,
@@ -183,7 +180,7 @@
 
 		const targets: Array<[string, string]> = [
 			...[...this.endpoints.values()].map((endpoint): [string, string] => [endpoint.id, endpoint.address]),
-			...[...this.#ports].filter(([peer]) => peer !== id).map(([peer, {peers}]): [string, string] => [peer, `127.0.0.1:${peers}`]),
+			...[...this.#addresses].filter(([peer]) => peer !== id).map(([peer, {peers}]): [string, string] => [peer, peers]),
 			...Object.entries(platform).map(([name, {url}]): [string, string] => [name, new URL(url).host]),
 		];
 		await Promise.all(targets.map(async ([to, address]) => this.mesh.add(id, to, address)));
@@ -207,15 +204,15 @@
 				role: 'endpoint', id, service: options.service, state: isLeaving ? 'leaving' : 'live', failure_domain: options.failureDomain,
 			},
 		}));
-		const entries = [...this.#ports].map(([id, {callers, peers, admin}], i): TargetGroup => ({
-			targets: [`127.0.0.1:${callers}`],
+		const entries = [...this.#addresses].map(([id, {callers, peers, admin}], i): TargetGroup => ({
+			targets: [callers],
 			labels: {
 				role: 'entry',
 				id,
 				state: this.#leavingEntries.has(id) ? 'leaving' : 'live',
 				failure_domain: this.#getFailureDomain(i),
-				peer: this.mesh.findAddress(viewer, id) ?? `127.0.0.1:${peers}`,
-				admin: `127.0.0.1:${admin}`,
+				peer: this.mesh.findAddress(viewer, id) ?? peers,
+				admin,
 			},
 		}));
 		return [...endpoints, ...entries];
--- a/packages/bench/src/testbed/entry-process.ts
+++ b/packages/bench/src/testbed/entry-process.ts
@@ -2,6 +2,7 @@
 import path from 'node:path';
 import {request} from 'undici';
 import {stringify} from 'yaml';
+import type {EntryAddresses} from './choose-entry-addresses.js';
 import {ManagedProcess} from './managed-process.js';
 import {waitUntil} from './wait-until.js';
 
@@ -14,7 +15,7 @@
 export type EntryProcessOptions = {
 	readonly id: string;
 	readonly failureDomain: string;
-	readonly ports: {readonly callers: number; readonly peers: number; readonly admin: number};
+	readonly addresses: EntryAddresses;
 	readonly hostListUrl: string;
 	readonly configurationFile: string;
 	/** Directory of the settings and log files. */
@@ -43,17 +44,17 @@
 
 	/** `ip:port` for callers. */
 	get address(): string {
-		return `127.0.0.1:${this.options.ports.callers}`;
+		return this.options.addresses.callers;
 	}
 
 	/** `ip:port` for peers. */
 	get peerAddress(): string {
-		return `127.0.0.1:${this.options.ports.peers}`;
+		return this.options.addresses.peers;
 	}
 
 	/** `ip:port` for operators. */
 	get adminAddress(): string {
-		return `127.0.0.1:${this.options.ports.admin}`;
+		return this.options.addresses.admin;
 	}
 
 	/** Starts the process again under the same id and addresses; nothing happens while it runs. */
@@ -84,11 +85,11 @@
 	});
 }
 
-function buildSettings({id, failureDomain, ports, hostListUrl, configurationFile, settings}: EntryProcessOptions): Record<string, unknown> {
+function buildSettings({id, failureDomain, addresses, hostListUrl, configurationFile, settings}: EntryProcessOptions): Record<string, unknown> {
 	const {platform, ...others} = settings;
 	return {
 		host: {id, failureDomain},
-		listen: {callers: {port: ports.callers}, peers: {port: ports.peers}, admin: {port: ports.admin}},
+		listen: {callers: parseListen(addresses.callers), peers: parseListen(addresses.peers), admin: parseListen(addresses.admin)},
 		keys: {peers: [testbedKey], admin: [testbedKey]},
 		platform: {hostList: {url: hostListUrl}, ...(platform as Record<string, unknown> | undefined)},
 		shutdown: {lameDuckMilliseconds: 100, shutdownMilliseconds: 60_000},
@@ -96,3 +97,8 @@
 		...others,
 	};
 }
+
+function parseListen(text: string): {address: string; port: number} {
+	const [address = '', port] = text.split(':');
+	return {address, port: Number(port)};
+}
--- a/packages/bench/src/testbed/testbed.ts
+++ b/packages/bench/src/testbed/testbed.ts
@@ -6,7 +6,7 @@
 import {StandInHostList, type EndpointBehaviour, type TargetGroup} from '@tanagerrail/stand-ins';
 import {EndpointGroup, type EndpointAddress} from './endpoint-group.js';
 import {EntryProcess} from './entry-process.js';
-import {pickPorts} from './pick-ports.js';
+import {chooseEntryAddresses, type EntryAddresses} from './choose-entry-addresses.js';
 
 /** One service of a testbed. */
 export type TestbedService = {
@@ -148,22 +148,22 @@
 			}));
 		}
 
-		const ports = await pickPorts(entries * 3);
+		const addresses = Array.from({length: entries}, () => chooseEntryAddresses());
 		// The list must be complete before the first entry reads it, or allocators start with a part of the fleet.
-		this.hostList.update(this.#buildRows(ports));
+		this.hostList.update(this.#buildRows(addresses));
 		await waitMilliseconds(listLagMilliseconds + 10);
-		for (let i = 0; i < entries; i++) {
-			this.entries.push(this.#createEntry(i, ports));
+		for (const [i, entryAddresses] of addresses.entries()) {
+			this.entries.push(this.#createEntry(i, entryAddresses));
 		}
 
 		await Promise.all(this.entries.map(async entry => entry.waitReady()));
 	}
 
-	#createEntry(i: number, ports: readonly number[]): EntryProcess {
+	#createEntry(i: number, addresses: EntryAddresses): EntryProcess {
 		return new EntryProcess({
 			id: `entry-${i}`,
 			failureDomain: this.#getFailureDomain(i),
-			ports: {callers: ports[3 * i]!, peers: ports[(3 * i) + 1]!, admin: ports[(3 * i) + 2]!},
+			addresses,
 			hostListUrl: this.#hostListUrl,
 			configurationFile: this.#configurationFile,
 			directory: this.directory,
@@ -175,18 +175,17 @@
 		return `fd-${i % this.options.failureDomains}`;
 	}
 
-	#buildRows(ports = this.entries.flatMap(({options}) => [options.ports.callers, options.ports.peers, options.ports.admin])): TargetGroup[] {
+	#buildRows(addresses: readonly EntryAddresses[] = this.entries.map(({options}) => options.addresses)): TargetGroup[] {
 		const endpoints = this.endpoints.map(({id, address, service}, i): TargetGroup => ({
 			targets: [address],
 			labels: {
 				role: 'endpoint', id, service, state: 'live', failure_domain: this.#getFailureDomain(i),
 			},
 		}));
-		const entries = Array.from({length: ports.length / 3}, (_, i): TargetGroup => ({
-			targets: [`127.0.0.1:${ports[3 * i]}`],
+		const entries = addresses.map(({callers, peers, admin}, i): TargetGroup => ({
+			targets: [callers],
 			labels: {
-				role: 'entry', id: `entry-${i}`, state: 'live', failure_domain: this.#getFailureDomain(i),
-				peer: `127.0.0.1:${ports[(3 * i) + 1]}`, admin: `127.0.0.1:${ports[(3 * i) + 2]}`,
+				role: 'entry', id: `entry-${i}`, state: 'live', failure_domain: this.#getFailureDomain(i), peer: peers, admin,
 			},
 		}));
 		return [...endpoints, ...entries];
