--- a/packages/cli/src/edge-host.ts
+++ b/packages/cli/src/edge-host.ts
@@ -204,14 +204,24 @@
 		}
 
 		this.#selector.dropOthers(new Set(this.#directory.all.map(({id}) => id)));
-		if (!this.#wasReady && this.isReady) {
-			this.#wasReady = true;
-			logger.log(LogLevel.info, 'host-ready', {revision: this.#routes.current?.table.revision, endpoints: endpoints.length});
-		}
+		this.#logReadiness();
 	}
 
 	#applyLimits({limits}: RouteTable): void {
 		this.#listener.updateLimits(limits);
+		this.#logReadiness();
+	}
+
+	/** Routes and endpoints arrive in any order, and the last of them makes the host ready. */
+	#logReadiness(): void {
+		if (this.#wasReady || !this.isReady) {
+			return;
+		}
+
+		this.#wasReady = true;
+		logger.log(LogLevel.info, 'host-ready', {
+			revision: this.#routes.current?.table.revision, endpoints: this.#directory.all.length, sinceStart: Math.round(clock()),
+		});
 	}
 
 	#getBudget(service: string): AttemptBudget {
--- a/packages/cli/src/edge-settings.ts
+++ b/packages/cli/src/edge-settings.ts
@@ -1,7 +1,7 @@
 import fs from 'node:fs';
 import {err, ok, type Result} from 'neverthrow';
 import {LineCounter, parseDocument} from 'yaml';
-import {z} from 'zod';
+import * as z from 'zod';
 import {createFailure, type Failure} from '@tanagerrail/results';
 
 const addressSchema = z.string().regex(/^[\d.]+:\d+$/v).meta({description: '`ip:port`'});
@@ -49,7 +49,14 @@
 	return readText(file).andThen(text => parseEdgeSettings(file, text));
 }
 
-function parseEdgeSettings(file: string, text: string): Result<EdgeSettings, Failure[]> {
+/**
+ * Checks the text of a settings file.
+ *
+ * @param file - Path of the file, for messages.
+ * @param text - Its contents, YAML.
+ * @returns The settings, or all mistakes: `settings-invalid`.
+ */
+export function parseEdgeSettings(file: string, text: string): Result<EdgeSettings, Failure[]> {
 	const lines = new LineCounter();
 	const document = parseDocument(text, {lineCounter: lines, prettyErrors: false});
 	if (document.errors.length > 0) {
--- /dev/null
+++ b/packages/cli/tests/edge-program.test.ts
@@ -0,0 +1,61 @@
+import {execFile, spawn} from 'node:child_process';
+import {once} from 'node:events';
+import fs from 'node:fs';
+import os from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {promisify} from 'node:util';
+import {test} from 'tap';
+import {chooseLoopbackHost, StandInRoutedEndpoint, StandInRowStore} from '@tanagerrail/stand-ins';
+import {
+	buildConfiguration, sendRequest, standardRoutes, waitFor,
+} from './fixtures/edge-fixture.js';
+
+const root = path.resolve(import.meta.dirname, '../../../..');
+
+// Guards against a snapshot whose V8 options differ from those of the deployment, and against library parts that are
+// missing in the bundle: both show only when the program that the platform runs is started.
+test('the program of the deployment starts, serves and stops in order', async t => {
+	await promisify(execFile)(process.execPath, ['tools/build-edge.mjs'], {cwd: root});
+	const store = new StandInRowStore();
+	await store.start();
+	const endpoint = new StandInRoutedEndpoint({id: 'reads-0'});
+	await endpoint.start();
+	store.put('servers', endpoint.id, endpoint.buildEntry('reads'));
+	store.put('op', 'config', buildConfiguration(1, standardRoutes));
+	const directory = fs.mkdtempSync(path.join(os.tmpdir(), 'tanagerrail-edge-'));
+	t.teardown(async () => {
+		fs.rmSync(directory, {recursive: true, force: true});
+		await Promise.all([store.stop(), endpoint.stop()]);
+	});
+	const host = chooseLoopbackHost();
+	const settings = path.join(directory, 'settings.yaml');
+	fs.writeFileSync(settings, [
+		'host: {id: host-1, failureDomain: zone-a}',
+		`listen: {callers: "${host}:8080", readiness: "${host}:8081", metrics: "${host}:8082"}`,
+		'readinessPath: /ready',
+		`store: {address: "${store.address}"}`,
+		'bounds: {retryRatio: 0.2, retrySlack: 56, retryWindowSeconds: 10, shutdownSeconds: 4, drainMilliseconds: 2000, probesPerSecond: 60}',
+	].join('\n'));
+	const child = spawn(process.execPath, readArguments(settings), {cwd: root, stdio: ['ignore', 'pipe', 'inherit']});
+	t.teardown(() => child.kill('SIGKILL'));
+	const lines: string[] = [];
+	child.stdout.setEncoding('utf8').on('data', (text: string) => {
+		lines.push(...text.split('\n').filter(Boolean));
+	});
+	await waitFor(() => lines.some(line => line.includes('"event":"host-ready"')), 10_000);
+	const {status} = await sendRequest(`${host}:8080`, {}, false);
+	t.equal(status, 200);
+	const metrics = await sendRequest(`${host}:8082`, {path: '/metrics'}, false);
+	t.match(metrics.body, /tanagerrail_requests_total\{route="route-0",status="200"\} 1/v);
+	child.kill('SIGTERM');
+	const [code] = await once(child, 'exit') as [number];
+	t.equal(code, 0);
+});
+
+/** Reads how the deployment starts the program. */
+function readArguments(settings: string): string[] {
+	const deployment = fs.readFileSync(path.join(root, 'deploy/system.toml'), 'utf8');
+	const [, run = ''] = /^run = "node (.+)"$/mv.exec(deployment) ?? [];
+	return run.split(' ').map(word => word.endsWith('.conf') ? settings : word);
+}
--- a/packages/http/src/routed-receiver.ts
+++ b/packages/http/src/routed-receiver.ts
@@ -1,4 +1,3 @@
-import {randomUUID} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
 import {createFailure, resultCodes, type Failure} from '@tanagerrail/results';
@@ -25,7 +24,7 @@
 	}
 
 	readId(req: IncomingMessage): string {
-		return this.#context.callers.readRequest(req.headers).id ?? randomUUID();
+		return this.#context.callers.readRequest(req.headers).id ?? crypto.randomUUID();
 	}
 
 	async receive(req: IncomingMessage, _: ServerResponse, {arrivedAt, signal}: Arrival): Promise<Result<RoutedRequest, Failure>> {
@@ -52,7 +51,7 @@
 
 		const {id, waitMilliseconds = Infinity} = callers.readRequest(req.headers);
 		return ok({
-			id: id ?? randomUUID(),
+			id: id ?? crypto.randomUUID(),
 			method,
 			target,
 			headers: stripHopByHop(req.headers),
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,3 +1,4 @@
+export * from './choose-loopback-host.js';
 export * from './endpoint-behaviour.js';
 export * from './platform-faults.js';
 export * from './stand-in-endpoint.js';
--- a/xo.config.js
+++ b/xo.config.js
@@ -61,6 +61,8 @@
 			'n/prefer-global/process': 'off',
 			'no-await-in-loop': 'off',
 			'unicorn/no-process-exit': 'off',
+			// The filters of esbuild are expressions of Go, which knows no flag for Unicode.
+			'require-unicode-regexp': 'off',
 		},
 	},
 ];
