feat(peers): one host of each failure domain reads the store and tells the others

Change: hosts register their peer address; in each domain the hosts are in one order (largest machine first), each asks the first one before it that answers, and the first reads the store. Answers wait for news or for the next reading and carry age and registry version; a host whose state is older than 0.68 of the drain bound reads the store itself; one that the store refuses asks other hosts. A call that waits for a configuration ends after 2.3 s, so that a silent connection is noticed within the 3 s after which a host counts as in touch (12 s before).

--- a/packages/cli/src/edge-host.ts
+++ b/packages/cli/src/edge-host.ts
@@ -1,30 +1,21 @@
 import {createServer, type RequestListener, type Server} from 'node:http';
 import {setTimeout as wait} from 'node:timers/promises';
-import {TrafficSplitter, type RouteTable} from '@tanagerrail/configuration';
+import {TrafficSplitter} from '@tanagerrail/configuration';
 import {
 	CallerListener, defaultRequestLimits, EndpointConnections, ProbeClient, RoutedReceiver, ServiceProfiles, type HeldConnection, type RoutedRequest,
 } from '@tanagerrail/http';
-import {EndpointFollower, RouteFollower, type HostRegistry} from '@tanagerrail/membership';
-import {
-	AttemptBudget, EndpointDirectory, EndpointSelector, ProbeBudget, type EndpointListing,
-} from '@tanagerrail/routing';
+import {AttemptBudget, EndpointSelector, ProbeBudget} from '@tanagerrail/routing';
 import {
 	createLogger, LogLevel, readMonotonicClock, TextMetrics,
 } from '@tanagerrail/telemetry';
-import {
-	callerProtocol, createEndpointSource, createHostRegistry, createRouteSource, endpointProtocol, StoreClient,
-} from '@tanagerrail/vihmavesi';
+import {callerProtocol, endpointProtocol} from '@tanagerrail/vihmavesi';
+import {EdgePlatform} from './edge-platform.js';
 import type {EdgeSettings} from './edge-settings.js';
+import {openServer, parseAddress} from './open-server.js';
 
 const logger = createLogger('host');
 const clock = readMonotonicClock;
 
-/** Number of hosts that is assumed until the registry has told it. */
-const assumedHosts = 24;
-
-/** Time between two readings of the number of hosts, in milliseconds. */
-const hostCountMilliseconds = 20_000;
-
 /** Time after the signal to stop in which new connections may still arrive, in milliseconds. */
 const lameDuckMilliseconds = 2300;
 
@@ -34,17 +25,10 @@
 /** Part of the probes that the endpoints allow which is used. */
 const usableProbes = 0.6;
 
-/** Part of the time in which a leaving endpoint may still get requests after which the registry is read again. */
-const registryShare = 0.55;
-
 /** A host between callers and the endpoints that register in the platform's store. */
 export class EdgeHost {
 	#settings: EdgeSettings;
-	readonly #store: StoreClient;
-	readonly #registry: HostRegistry;
-	readonly #directory = new EndpointDirectory({clock});
-	readonly #routes: RouteFollower;
-	readonly #endpoints: EndpointFollower<EndpointListing>;
+	readonly #platform: EdgePlatform;
 	readonly #connections = new EndpointConnections({
 		clock, connections: 64, connectTimeout: 250, idleTimeout: 30_000,
 	});
@@ -55,30 +39,30 @@
 	readonly #metrics = new TextMetrics();
 	readonly #readinessServer: Server;
 	readonly #metricsServer: Server;
-	#hosts = assumedHosts;
 	#isStopping = false;
 	#wasReady = false;
 
 	constructor(settings: EdgeSettings) {
 		this.#settings = settings;
-		this.#store = new StoreClient({address: settings.store.address});
-		this.#registry = createHostRegistry(this.#store);
-		this.#routes = new RouteFollower({
-			source: createRouteSource(this.#store),
+		this.#platform = new EdgePlatform({
+			settings,
 			clock,
-			onApplied: table => {
-				this.#applyLimits(table);
+			onRoutes: ({limits}) => {
+				this.#listener.updateLimits(limits);
+				this.#logReadiness();
+			},
+			onEndpoints: () => {
+				this.#takeEndpoints();
 			},
 		});
-		this.#endpoints = this.#createEndpointFollower();
 		const probes = new ProbeClient({
-			connections: this.#connections, protocol: endpointProtocol, findHealthPath: service => this.#routes.current?.findService(service)?.healthPath,
+			connections: this.#connections, protocol: endpointProtocol, findHealthPath: service => this.#platform.routes?.findService(service)?.healthPath,
 		});
 		const probeBudget = new ProbeBudget({clock, getRate: service => this.#getProbeRate(service)});
 		this.#selector = new EndpointSelector({
 			clock,
 			failureDomain: settings.host.failureDomain,
-			listEndpoints: service => this.#directory.list(service),
+			listEndpoints: service => this.#platform.directory.list(service),
 			sendProbe: async endpoint => probes.probe(endpoint),
 			takeProbe: service => probeBudget.take(service),
 		});
@@ -89,20 +73,14 @@
 
 	/** Whether the host takes new connections. */
 	get isReady(): boolean {
-		return !this.#isStopping && this.#isInformed;
-	}
-
-	get #isInformed(): boolean {
-		return this.#routes.current !== undefined && this.#directory.isKnown;
+		return !this.#isStopping && this.#platform.isKnown;
 	}
 
 	/** Starts to listen and to follow the store. */
 	async start(): Promise<void> {
 		const {listen} = this.#settings;
-		void this.#routes.run();
-		void this.#endpoints.run();
-		void this.#countHosts();
 		await Promise.all([
+			this.#platform.start(),
 			this.#listener.start(parseAddress(listen.callers)),
 			openServer(this.#readinessServer, listen.readiness),
 			openServer(this.#metricsServer, listen.metrics),
@@ -144,13 +122,11 @@
 
 	/** Ends all work at once. */
 	close(): void {
-		this.#routes.stop();
-		this.#endpoints.stop();
+		this.#platform.stop();
 		this.#listener.stop();
 		this.#listener.abort();
 		this.#readinessServer.close();
 		this.#metricsServer.close();
-		this.#store.close();
 		this.#connections.close();
 	}
 
@@ -168,47 +144,15 @@
 				splitter: new TrafficSplitter(),
 				profiles: new ServiceProfiles(),
 				meter: this.#metrics,
-				getRoutes: () => this.#routes.current,
-				isReady: () => this.#isInformed,
+				getRoutes: () => this.#platform.routes,
+				isReady: () => this.#platform.isKnown,
 				getBudget: service => this.#getBudget(service),
 			}),
 		});
 	}
 
-	#createEndpointFollower(): EndpointFollower<EndpointListing> {
-		return new EndpointFollower<EndpointListing>({
-			source: createEndpointSource(this.#store),
-			clock,
-			intervalMilliseconds: registryShare * this.#settings.bounds.drainMilliseconds,
-			onListing: endpoints => {
-				this.#takeListing(endpoints);
-			},
-			onOutage: () => {
-				this.#routes.refresh();
-			},
-			onOutageEnd: wasAway => {
-				this.#routes.refresh();
-				if (wasAway) {
-					this.#directory.handleOutageEnd();
-				}
-			},
-		});
-	}
-
-	#takeListing(endpoints: readonly EndpointListing[]): void {
-		for (const {kind, endpoint} of this.#directory.update(endpoints)) {
-			const {id, service, address, failureDomain, startedAt, sequence} = endpoint;
-			logger.log(LogLevel.info, 'endpoint-listed', {
-				endpoint: id, change: kind, service, address, endpointDomain: failureDomain, startedAt, sequence,
-			});
-		}
-
-		this.#selector.dropOthers(new Set(this.#directory.all.map(({id}) => id)));
-		this.#logReadiness();
-	}
-
-	#applyLimits({limits}: RouteTable): void {
-		this.#listener.updateLimits(limits);
+	#takeEndpoints(): void {
+		this.#selector.dropOthers(new Set(this.#platform.directory.all.map(({id}) => id)));
 		this.#logReadiness();
 	}
 
@@ -220,7 +164,7 @@
 
 		this.#wasReady = true;
 		logger.log(LogLevel.info, 'host-ready', {
-			revision: this.#routes.current?.table.revision, endpoints: this.#directory.all.length, sinceStart: Math.round(clock()),
+			revision: this.#platform.routes?.table.revision, endpoints: this.#platform.directory.all.length, sinceStart: Math.round(clock()),
 		});
 	}
 
@@ -232,27 +176,14 @@
 
 		const {retryRatio, retrySlack, retryWindowSeconds} = this.#settings.bounds;
 		const budget = new AttemptBudget({
-			clock, ratio: retryRatio, slack: retrySlack, windowMilliseconds: retryWindowSeconds * 1000, getHostCount: () => this.#hosts,
+			clock, ratio: retryRatio, slack: retrySlack, windowMilliseconds: retryWindowSeconds * 1000, getHostCount: () => this.#platform.hostCount,
 		});
 		this.#budgets.set(service, budget);
 		return budget;
 	}
 
 	#getProbeRate(service: string): number {
-		return usableProbes * this.#settings.bounds.probesPerSecond * this.#directory.list(service).length / this.#hosts;
-	}
-
-	async #countHosts(): Promise<void> {
-		const registered = await this.#registry.registerHost(this.#settings.host.id);
-		while (!this.#isStopping) {
-			await wait(hostCountMilliseconds / 10, undefined, {ref: false});
-			const counted = registered.isOk() ? await this.#registry.countHosts() : undefined;
-			if (counted?.isOk()) {
-				this.#hosts = Math.max(1, counted.value);
-			}
-
-			await wait(hostCountMilliseconds, undefined, {ref: false});
-		}
+		return usableProbes * this.#settings.bounds.probesPerSecond * this.#platform.directory.list(service).length / this.#platform.hostCount;
 	}
 
 	#serveReadiness(): RequestListener {
@@ -269,16 +200,3 @@
 		};
 	}
 }
-
-function parseAddress(address: string): {host: string; port: number} {
-	const [host = '', port = '0'] = address.split(':');
-	return {host, port: Number(port)};
-}
-
-async function openServer(server: Server, address: string): Promise<void> {
-	const {host, port} = parseAddress(address);
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(port, host, resolve);
-	});
-}
--- a/packages/cli/src/edge-settings.ts
+++ b/packages/cli/src/edge-settings.ts
@@ -12,11 +12,13 @@
 	host: z.object({
 		id: z.string().min(1).meta({description: 'Name of this host'}),
 		failureDomain: z.string().min(1).meta({description: 'Failure domain in which this host runs'}),
+		cores: z.number().min(0).default(1).meta({description: 'Processor cores that this host may use; the largest host of a failure domain reads the store for the others', unit: 'cores'}),
 	}),
 	listen: z.object({
 		callers: addressSchema.meta({description: 'Where callers connect'}),
 		readiness: addressSchema.meta({description: 'Where the platform asks whether the host takes new connections'}),
 		metrics: addressSchema.meta({description: 'Where counters and histograms are served'}),
+		peers: addressSchema.meta({description: 'Where other hosts ask for the state of the platform'}),
 	}),
 	readinessPath: z.string().startsWith('/').meta({description: 'Path of the readiness request'}),
 	store: z.object({
--- a/packages/cli/src/run-decoders.ts
+++ b/packages/cli/src/run-decoders.ts
@@ -3,7 +3,7 @@
 
 const exampleSettings = `
 host: {id: "host-1", failureDomain: "zone-a"}
-listen: {callers: "10.0.0.1:1", readiness: "10.0.0.1:2", metrics: "10.0.0.1:3"}
+listen: {callers: "10.0.0.1:1", readiness: "10.0.0.1:2", metrics: "10.0.0.1:3", peers: "10.0.0.1:4"}
 readinessPath: /ready
 store:
   address: "10.0.0.2:1"
--- a/packages/cli/tests/edge-program.test.ts
+++ b/packages/cli/tests/edge-program.test.ts
@@ -32,7 +32,7 @@
 	const settings = path.join(directory, 'settings.yaml');
 	fs.writeFileSync(settings, [
 		'host: {id: host-1, failureDomain: zone-a}',
-		`listen: {callers: "${host}:8080", readiness: "${host}:8081", metrics: "${host}:8082"}`,
+		`listen: {callers: "${host}:8080", readiness: "${host}:8081", metrics: "${host}:8082", peers: "${host}:8083"}`,
 		'readinessPath: /ready',
 		`store: {address: "${store.address}"}`,
 		'bounds: {retryRatio: 0.2, retrySlack: 56, retryWindowSeconds: 10, shutdownSeconds: 4, drainMilliseconds: 2000, probesPerSecond: 60}',
--- a/packages/cli/tests/edge-settings.test.ts
+++ b/packages/cli/tests/edge-settings.test.ts
@@ -11,6 +11,7 @@
   callers: "10.0.0.1:80"
   readiness: "10.0.0.1:81"
   metrics: "10.0.0.1:82"
+  peers: "10.0.0.1:83"
 readinessPath: /ready
 store:
   address: "10.0.0.9:83"
@@ -29,7 +30,7 @@
 });
 
 const mistakes: ReadonlyArray<readonly [title: string, text: string, message: RegExp]> = [
-	['a bad address', valid.replace('10.0.0.9:83', 'localhost'), /s\.yaml:10: store\.address: found another value/v],
+	['a bad address', valid.replace('10.0.0.9:83', 'localhost'), /s\.yaml:11: store\.address: found another value/v],
 	['a missing bound', valid.replace('  retrySlack: 56\n', ''), /bounds\.retrySlack: found nothing/v],
 	['no YAML', 'host: [', /found .*, expected valid YAML/v],
 ];
--- a/packages/membership/src/endpoint-follower.ts
+++ b/packages/membership/src/endpoint-follower.ts
@@ -1,7 +1,7 @@
-import {setTimeout as wait} from 'node:timers/promises';
 import type {Failure} from '@tanagerrail/results';
 import {createLogger, LogLevel, type Clock} from '@tanagerrail/telemetry';
 import type {EndpointSource} from './platform-sources.js';
+import {waitUntil} from './wait-until.js';
 
 const logger = createLogger('membership');
 
@@ -9,8 +9,8 @@
 export type EndpointFollowerOptions<E> = {
 	readonly source: EndpointSource<E>;
 	readonly clock: Clock;
-	/** Called with each listing. */
-	readonly onListing: (endpoints: readonly E[]) => void;
+	/** Called with each listing and the version of the registry at which it was read. */
+	readonly onListing: (endpoints: readonly E[], version: number) => void;
 	/** Called when a call has failed after one that succeeded. */
 	readonly onOutage: () => void;
 	/**
@@ -25,10 +25,14 @@
 	/** First pause after a failed call, in milliseconds; doubled up to the longest. */
 	readonly retryMilliseconds: number;
 	readonly maximumRetryMilliseconds: number;
+	/** How much longer the pauses are, for hosts that would hear from another one that the registry is back; 1 by default. */
+	readonly getRetryFactor: () => number;
 };
 
 /** Defaults of {@link EndpointFollowerOptions}. */
-export const defaultEndpointFollowerOptions = {intervalMilliseconds: 1100, retryMilliseconds: 200, maximumRetryMilliseconds: 500};
+export const defaultEndpointFollowerOptions = {
+	intervalMilliseconds: 1100, retryMilliseconds: 200, maximumRetryMilliseconds: 1000, getRetryFactor: () => 1,
+};
 
 /** Part of the usual changes below which the registry was away for most of the time. */
 const awayShare = 0.6;
@@ -39,7 +43,6 @@
 /** Reads the registry of endpoints again and again. */
 export class EndpointFollower<E> {
 	readonly #options: EndpointFollowerOptions<E>;
-	#isStopped = false;
 	#isConnected = true;
 	#readAt = -Infinity;
 	#unreadable = 0;
@@ -52,20 +55,33 @@
 		this.#options = {...defaultEndpointFollowerOptions, ...options};
 	}
 
+	/** Whether the last call has succeeded. */
+	get isConnected(): boolean {
+		return this.#isConnected;
+	}
+
 	/** Time since the registry was last read, in milliseconds. */
 	get age(): number {
 		return this.#options.clock() - this.#readAt;
 	}
 
-	/** Follows the registry until the follower is stopped. */
-	async run(): Promise<void> {
-		const {source, intervalMilliseconds, retryMilliseconds, maximumRetryMilliseconds, onListing, onOutageEnd} = this.#options;
+	/**
+	 * Follows the registry.
+	 *
+	 * @param signal - Ends the following.
+	 */
+	async run(signal: AbortSignal): Promise<void> {
+		const {source, intervalMilliseconds, retryMilliseconds, maximumRetryMilliseconds, getRetryFactor, onListing, onOutageEnd} = this.#options;
 		let pause = retryMilliseconds;
-		while (!this.#isStopped) {
+		while (!signal.aborted) {
 			const result = await source.listEndpoints();
+			if (signal.aborted) {
+				return;
+			}
+
 			if (result.isErr()) {
 				this.#handleFailure(result.error);
-				await wait(pause);
+				await waitUntil(pause * getRetryFactor(), signal);
 				pause = Math.min(maximumRetryMilliseconds, pause * 2);
 				continue;
 			}
@@ -80,16 +96,11 @@
 			}
 
 			this.#logUnreadable(result.value.unreadable);
-			onListing(result.value.endpoints);
-			await wait(intervalMilliseconds);
+			onListing(result.value.endpoints, result.value.version);
+			await waitUntil(intervalMilliseconds, signal);
 		}
 	}
 
-	/** Stops following. */
-	stop(): void {
-		this.#isStopped = true;
-	}
-
 	/** Compares the changes since the last reading with the usual rate, which is learned while readings succeed. */
 	#measureChanges(version: number): number {
 		const now = this.#options.clock();
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,6 +1,8 @@
 export * from './host-directory.js';
+export * from './host-roster.js';
 export * from './pause-detector.js';
 export * from './rank-hosts.js';
 export * from './endpoint-follower.js';
 export type * from './platform-sources.js';
 export * from './route-follower.js';
+export * from './wait-until.js';
--- a/packages/membership/src/route-follower.ts
+++ b/packages/membership/src/route-follower.ts
@@ -1,8 +1,8 @@
-import {setTimeout as wait} from 'node:timers/promises';
 import {RouteIndex, type RouteTable} from '@tanagerrail/configuration';
 import type {Failure} from '@tanagerrail/results';
 import {createLogger, LogLevel, type Clock} from '@tanagerrail/telemetry';
 import type {RouteRevision, RouteSource} from './platform-sources.js';
+import {waitUntil} from './wait-until.js';
 
 const logger = createLogger('membership');
 
@@ -19,14 +19,16 @@
 	readonly maximumRetryMilliseconds: number;
 };
 
-/** Defaults of {@link RouteFollowerOptions}. */
-export const defaultRouteFollowerOptions = {waitMilliseconds: 12_000, retryMilliseconds: 250, maximumRetryMilliseconds: 2000};
+/**
+ * Defaults of {@link RouteFollowerOptions}. A waiting call whose connection has gone silent is noticed when its wait and
+ * the time allowed for a call are over, which together stay below the 3 s after which a host counts as in touch again.
+ */
+export const defaultRouteFollowerOptions = {waitMilliseconds: 2300, retryMilliseconds: 250, maximumRetryMilliseconds: 2000};
 
 /** Keeps the newest configuration of routes in force; an older one never replaces it. */
 export class RouteFollower {
 	readonly #options: RouteFollowerOptions;
 	#index: RouteIndex | undefined;
-	#isStopped = false;
 	#isConnected = true;
 	#waiting: AbortController | undefined;
 
@@ -39,14 +41,18 @@
 		return this.#index;
 	}
 
-	/** Follows the source until the follower is stopped. */
-	async run(): Promise<void> {
+	/**
+	 * Follows the source.
+	 *
+	 * @param ended - Ends the following.
+	 */
+	async run(ended: AbortSignal): Promise<void> {
 		const {source, waitMilliseconds, retryMilliseconds, maximumRetryMilliseconds} = this.#options;
 		let cursor: number | undefined;
 		let pause = retryMilliseconds;
-		while (!this.#isStopped) {
+		while (!ended.aborted) {
 			this.#waiting = new AbortController();
-			const {signal} = this.#waiting;
+			const signal = AbortSignal.any([ended, this.#waiting.signal]);
 			const result = cursor === undefined
 				? await source.readRoutes()
 				: await source.waitRoutes(cursor, {waitMilliseconds, signal});
@@ -74,10 +80,13 @@
 		this.#waiting?.abort();
 	}
 
-	/** Stops following. */
-	stop(): void {
-		this.#isStopped = true;
-		this.#waiting?.abort();
+	/**
+	 * Takes over a configuration that another host has in force.
+	 *
+	 * @param table - The configuration; an older one than that in force is left out.
+	 */
+	adopt(table: RouteTable): void {
+		this.#apply(table);
 	}
 
 	#take({table}: RouteRevision): void {
@@ -111,11 +120,3 @@
 		}
 	}
 }
-
-async function waitUntil(milliseconds: number, signal: AbortSignal): Promise<void> {
-	try {
-		await wait(milliseconds, undefined, {signal});
-	} catch {
-		// The wait was cut short by a refresh.
-	}
-}
--- a/packages/membership/tests/endpoint-follower.test.ts
+++ b/packages/membership/tests/endpoint-follower.test.ts
@@ -27,7 +27,8 @@
 		retryMilliseconds: 10,
 		maximumRetryMilliseconds: 20,
 	});
-	const running = follower.run();
+	const controller = new AbortController();
+	const running = follower.run(controller.signal);
 	await wait(150);
 	state.isDown = true;
 	const before = state.version;
@@ -35,7 +36,7 @@
 	state.version = before + changesDuringOutage;
 	state.isDown = false;
 	await wait(100);
-	follower.stop();
+	controller.abort();
 	await running;
 	return seen.filter(event => event !== 'listing');
 }
--- a/packages/membership/tests/route-follower.test.ts
+++ b/packages/membership/tests/route-follower.test.ts
@@ -22,7 +22,10 @@
 	const follower = new RouteFollower({
 		source, clock: readMonotonicClock, onApplied: ({revision}) => applied.push(revision), waitMilliseconds: 50, retryMilliseconds: 5, maximumRetryMilliseconds: 10,
 	});
-	return {applied, follower, running: follower.run()};
+	const controller = new AbortController();
+	return {
+		applied, follower, controller, running: follower.run(controller.signal),
+	};
 }
 
 test('guards against a configuration that goes back to an older one', async t => {
@@ -34,7 +37,7 @@
 		return okAsync<RouteRevision, Failure>({cursor, table});
 	};
 
-	const {applied, follower, running} = startFollower({
+	const {applied, follower, controller, running} = startFollower({
 		readRoutes: read,
 		waitRoutes: () => new ResultAsync((async () => {
 			await wait(5);
@@ -42,7 +45,7 @@
 		})()),
 	});
 	await wait(120);
-	follower.stop();
+	controller.abort();
 	await running;
 	t.same(applied, [4, 9]);
 	t.equal(follower.current?.table.revision, 9);
@@ -50,7 +53,7 @@
 
 test('guards against a waiting call whose connection is lost without a sign', async t => {
 	let reads = 0;
-	const {applied, follower, running} = startFollower({
+	const {applied, follower, controller, running} = startFollower({
 		readRoutes() {
 			reads += 1;
 			return okAsync({cursor: reads, table: ok(buildTable(reads))});
@@ -67,13 +70,13 @@
 	follower.refresh();
 	await wait(30);
 	t.same(applied, [1, 2]);
-	follower.stop();
+	controller.abort();
 	await running;
 });
 
 test('changes that the source has forgotten are made up for by a full reading', async t => {
 	let reads = 0;
-	const {applied, follower, running} = startFollower({
+	const {applied, follower, controller, running} = startFollower({
 		readRoutes() {
 			reads += 1;
 			return okAsync({cursor: reads, table: ok(buildTable(reads))});
@@ -84,14 +87,14 @@
 		})()),
 	});
 	await wait(60);
-	follower.stop();
+	controller.abort();
 	await running;
 	t.ok(applied.length > 2);
 });
 
 test('a source that fails is asked again until it answers', async t => {
 	let calls = 0;
-	const {applied, follower, running} = startFollower({
+	const {applied, follower, controller, running} = startFollower({
 		readRoutes() {
 			calls += 1;
 			return calls < 4 ? errAsync(createFailure('table-throttled')) : okAsync({cursor: 1, table: ok(buildTable(1))});
@@ -100,6 +103,6 @@
 	});
 	await wait(150);
 	t.same(applied, [1]);
-	follower.stop();
+	controller.abort();
 	await running;
 });
--- /dev/null
+++ b/packages/peers/tests/state-follower.test.ts
@@ -0,0 +1,223 @@
+import type {Server} from 'node:http';
+import {once} from 'node:events';
+import {setTimeout as wait} from 'node:timers/promises';
+import {
+	errAsync, ok, okAsync, ResultAsync,
+} from 'neverthrow';
+import {test, type Test} from 'tap';
+import {
+	EndpointFollower, RouteFollower, type EndpointRegistryListing, type RegisteredHost,
+} from '@tanagerrail/membership';
+import {createFailure} from '@tanagerrail/results';
+import {EndpointDirectory, type EndpointListing} from '@tanagerrail/routing';
+import {readMonotonicClock as clock} from '@tanagerrail/telemetry';
+import {chooseLoopbackHost} from '@tanagerrail/stand-ins';
+import {
+	Adoption, createRelayRouter, createRelayServer, PlatformState, RelayClient, RelaySources, StateFollower,
+} from '../src/index.js';
+
+const intervalMilliseconds = 100;
+const staleMilliseconds = 250;
+
+/** A registry of endpoints and a configuration that hosts read, or that refuses some of them. */
+class FakeStore {
+	readonly refused = new Set<string>();
+	/** Reads by host. */
+	readonly reads = new Map<string, number>();
+	version = 1;
+	revision = 1;
+	endpoints: EndpointListing[] = [];
+
+	list(hostId: string): ResultAsync<EndpointRegistryListing<EndpointListing>, ReturnType<typeof createFailure>> {
+		this.reads.set(hostId, (this.reads.get(hostId) ?? 0) + 1);
+		this.version += 1;
+		return this.refused.has(hostId)
+			? errAsync(createFailure('table-unavailable', {reason: 'test'}))
+			: okAsync({endpoints: this.endpoints, unreadable: 0, version: this.version});
+	}
+}
+
+class FakeHost {
+	readonly directory = new EndpointDirectory({clock});
+	readonly state: PlatformState;
+	readonly routes: RouteFollower;
+	readonly follower: StateFollower;
+	readonly server: Server;
+	readonly stopped = new AbortController();
+	readonly #client = new RelayClient();
+
+	constructor(store: FakeStore, readonly self: RegisteredHost, hosts: readonly RegisteredHost[]) {
+		const {id, failureDomain} = self;
+		const buildTable = () => ok({
+			revision: store.revision, routes: [], services: [], limits: {
+				headerBytes: 1, bodyBytes: 1, headersMilliseconds: 1, idleMilliseconds: 1,
+			},
+		});
+		this.routes = new RouteFollower({
+			clock,
+			source: {
+				readRoutes: () => okAsync({cursor: store.revision, table: buildTable()}),
+				waitRoutes: () => new ResultAsync((async () => {
+					await wait(20);
+					return ok({cursor: store.revision, table: buildTable()});
+				})()),
+			},
+			onApplied: () => {
+				this.state.notify();
+			},
+		});
+		const endpoints = new EndpointFollower<EndpointListing>({
+			source: {listEndpoints: () => store.list(id)},
+			clock,
+			intervalMilliseconds,
+			retryMilliseconds: 20,
+			maximumRetryMilliseconds: 40,
+			onListing: (listed, version) => {
+				this.directory.update(listed);
+				this.state.markCurrent(version);
+			},
+			onOutage: () => {
+				this.state.notify();
+			},
+			onOutageEnd() {/* Nothing lapses here. */},
+		});
+		this.state = new PlatformState({
+			clock, incarnation: `${id}-1`, directory: this.directory, routes: this.routes, staleMilliseconds, hasSource: () => this.follower.hasSource, onEndpoints() {/* Not observed. */},
+		});
+		this.state.updateHosts({version: '1', hosts});
+		this.follower = new StateFollower({
+			hostId: id,
+			state: this.state,
+			sources: new RelaySources({
+				clock, hostId: id, failureDomain, listHosts: () => hosts, avoidMilliseconds: 100,
+			}),
+			client: this.#client,
+			readStore: signal => {
+				void endpoints.run(signal);
+				void this.routes.run(signal);
+			},
+			isStoreDown: () => !endpoints.isConnected,
+			getRevision: () => this.routes.current?.table.revision,
+			staleMilliseconds,
+			startMilliseconds: 50,
+			checkMilliseconds: 50,
+			answerMilliseconds: 100,
+		});
+		this.server = createRelayServer(createRelayRouter({state: this.state, holdMilliseconds: staleMilliseconds, onQuestion() {/* Not observed. */}}));
+	}
+
+	async start(): Promise<void> {
+		const [address, port] = this.self.peerAddress.split(':');
+		this.server.listen(Number(port), address);
+		await once(this.server, 'listening');
+		void this.follower.run(this.stopped.signal);
+	}
+
+	stop(): void {
+		this.stopped.abort();
+		this.server.close();
+		this.server.closeAllConnections();
+		this.#client.close();
+	}
+}
+
+function buildEndpoint(id: string, fields: Partial<EndpointListing> = {}): EndpointListing {
+	return {
+		id, address: '10.0.0.1:80', service: 's', failureDomain: 'a', slots: 3, isDraining: false, startedAt: 1, sequence: 1, coldMilliseconds: 0, ...fields,
+	};
+}
+
+async function startHosts(t: Test) {
+	const store = new FakeStore();
+	store.endpoints = [buildEndpoint('e1'), buildEndpoint('e2')];
+	const listed = ['h1', 'h2', 'h3'].map((id): RegisteredHost => ({
+		id, failureDomain: 'a', peerAddress: `${chooseLoopbackHost()}:7200`, cores: 1,
+	}));
+	const hosts = listed.map(self => new FakeHost(store, self, listed));
+	await Promise.all(hosts.map(async host => host.start()));
+	t.teardown(() => {
+		for (const host of hosts) {
+			host.stop();
+		}
+	});
+	await wait(400);
+	store.reads.clear();
+	return {store, hosts};
+}
+
+/** Longest age that the state of a host reaches within a time. */
+async function measureAge({state}: FakeHost, milliseconds: number): Promise<number> {
+	const endsAt = clock() + milliseconds;
+	let oldest = 0;
+	while (clock() < endsAt) {
+		oldest = Math.max(oldest, state.age);
+		await wait(5);
+	}
+
+	return oldest;
+}
+
+// The bound in which a leaving endpoint must be noticed is to the stale age as 2 s to 1.36 s.
+const drainMilliseconds = staleMilliseconds / 0.68;
+
+test('guards against hosts that all read the store: one reads and the others hear of changes at once', async t => {
+	const {store, hosts} = await startHosts(t);
+	await wait(600);
+	t.same([...store.reads.keys()], ['h1']);
+	store.endpoints = [buildEndpoint('e1', {isDraining: true, sequence: 2}), buildEndpoint('e3')];
+	store.revision = 2;
+	await wait(intervalMilliseconds + 100);
+	for (const {directory, routes} of hosts) {
+		t.same(directory.list('s').map(({id}) => id), ['e3']);
+		t.equal(routes.current?.table.revision, 2);
+	}
+});
+
+test('guards against a leaving endpoint that is noticed too late because the reader has died', async t => {
+	const {store, hosts} = await startHosts(t);
+	const [first, second, third] = hosts;
+	first!.stop();
+	t.ok(await measureAge(third!, 800) < drainMilliseconds);
+	t.ok(third!.state.isCurrent);
+	t.ok(second!.state.isCurrent);
+	t.notOk(store.reads.has('h3') && store.reads.has('h2') && store.reads.get('h3')! > 6, 'only one of them goes on reading');
+});
+
+test('guards against a leaving endpoint that is noticed too late because the reader has gone silent', async t => {
+	const {hosts} = await startHosts(t);
+	const [first, , third] = hosts;
+	// The connection stays open and nothing is answered any more.
+	first!.server.removeAllListeners('request');
+	first!.stopped.abort();
+	t.ok(await measureAge(third!, 800) < drainMilliseconds);
+});
+
+test('guards against hosts that follow a reader which the store refuses; the refused host hears from others', async t => {
+	const {store, hosts} = await startHosts(t);
+	const [first, second] = hosts;
+	store.refused.add('h1');
+	t.ok(await measureAge(second!, 600) < drainMilliseconds);
+	store.endpoints = [buildEndpoint('e9')];
+	await wait(500);
+	for (const {directory} of hosts) {
+		t.same(directory.list('s').map(({id}) => id), ['e9']);
+	}
+
+	store.refused.clear();
+	await wait(600);
+	store.reads.clear();
+	await wait(400);
+	t.same([...store.reads.keys()], ['h1'], 'the first host reads for all again');
+	t.ok(first!.state.isCurrent);
+});
+
+test('guards against a state that goes back to an older one', async t => {
+	const {hosts: [host]} = await startHosts(t);
+	const told = host!.state.describe({
+		hostId: 'h2', incarnation: '', cursor: 0, registryVersion: 0, revision: -1, hostsVersion: '',
+	});
+	t.equal(host!.state.adopt({...told, registryVersion: 1}), Adoption.behind, 'the registry at an earlier version');
+	t.equal(host!.state.adopt({...told, age: staleMilliseconds + 1}), Adoption.stale, 'an old reading');
+	t.equal(host!.state.adopt({...told, hasSource: false}), Adoption.stale, 'a host that reads nothing any more');
+	t.equal(host!.state.adopt({...told, registryVersion: told.registryVersion + 1000}), Adoption.adopted);
+});
--- a/packages/routing/src/endpoint-directory.ts
+++ b/packages/routing/src/endpoint-directory.ts
@@ -1,4 +1,5 @@
 import type {Clock} from '@tanagerrail/telemetry';
+import {DirectoryChangeLog} from './directory-change-log.js';
 
 /** One endpoint as the registry lists it. */
 export type EndpointListing = {
@@ -32,6 +33,18 @@
 	readonly kind: 'added' | 'draining' | 'restarted' | 'removed' | 'missing' | 'returned' | 'changed';
 };
 
+/** Changes of a directory that another host is told of. */
+export type DirectoryNews = {
+	/** Position in the change log of the directory that tells them. */
+	readonly cursor: number;
+	/** Whether the endpoints are all there are, not only those that have changed. */
+	readonly isFull: boolean;
+	/** Endpoints that were added or have changed, with the time for which they stay slow from now on. */
+	readonly endpoints: readonly EndpointListing[];
+	/** Ids of endpoints that are gone. */
+	readonly removed: readonly string[];
+};
+
 /** Options of {@link EndpointDirectory}. */
 export type EndpointDirectoryOptions = {
 	readonly clock: Clock;
@@ -46,6 +59,7 @@
 export class EndpointDirectory {
 	readonly #options: EndpointDirectoryOptions;
 	readonly #endpoints = new Map<string, DirectoryEndpoint>();
+	readonly #log = new DirectoryChangeLog();
 	#byService = new Map<string, DirectoryEndpoint[]>();
 	#lapsesUntil = 0;
 	#isKnown = false;
@@ -59,6 +73,11 @@
 		return this.#isKnown;
 	}
 
+	/** Position after the last change of the directory. */
+	get cursor(): number {
+		return this.#log.cursor;
+	}
+
 	/** All endpoints, those that are missing or draining included. */
 	get all(): readonly DirectoryEndpoint[] {
 		return [...this.#endpoints.values()];
@@ -103,9 +122,58 @@
 			}
 		}
 
+		this.#finishUpdate(changes);
+		return changes;
+	}
+
+	/**
+	 * Lists what has changed, for another host.
+	 *
+	 * @param after - Position up to which that host knows this directory; 0 asks for everything.
+	 * @returns The changes.
+	 */
+	listChanges(after: number): DirectoryNews {
+		const now = this.#options.clock();
+		const {isFull, changed, removed} = this.#log.listChanges(after);
+		return {
+			cursor: this.#log.cursor, isFull, removed, endpoints: changed.map(id => convertListing(this.#endpoints.get(id)!, now)),
+		};
+	}
+
+	/**
+	 * Takes over what another host tells of the endpoints. It has decided already which lapsed entries stay in use.
+	 *
+	 * @param news - The changes.
+	 * @returns What changed here.
+	 */
+	adopt({isFull, endpoints, removed}: DirectoryNews): readonly DirectoryChange[] {
+		const now = this.#options.clock();
+		const changes = endpoints.map(listing => this.#updateOne(listing, now)).filter(change => change !== undefined);
+		const told = new Set(endpoints.map(({id}) => id));
+		const gone = isFull ? [...this.#endpoints.keys()].filter(id => !told.has(id)) : removed;
+		for (const id of gone) {
+			const endpoint = this.#endpoints.get(id);
+			if (endpoint) {
+				this.#endpoints.delete(id);
+				changes.push({endpoint, kind: 'removed'});
+			}
+		}
+
+		this.#finishUpdate(changes);
+		return changes;
+	}
+
+	#finishUpdate(changes: readonly DirectoryChange[]): void {
 		this.#isKnown = true;
+		for (const {kind, endpoint: {id}} of changes) {
+			if (kind === 'removed') {
+				this.#log.recordRemoval(id);
+			} else {
+				this.#log.recordChange(id);
+			}
+		}
+
 		this.#index();
-		return changes;
 	}
 
 	#updateOne(listing: EndpointListing, now: number): DirectoryChange | undefined {
@@ -150,6 +218,10 @@
 	}
 }
 
+function convertListing({coldUntil, missingSince: _, ...listing}: DirectoryEndpoint, now: number): EndpointListing {
+	return {...listing, coldMilliseconds: Math.max(0, coldUntil - now)};
+}
+
 /** A late write of an earlier heartbeat or of an earlier start does not undo what is known. */
 function isOlder(listing: EndpointListing, known: EndpointListing): boolean {
 	return listing.startedAt < known.startedAt || (listing.startedAt === known.startedAt && listing.sequence < known.sequence);
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -2,6 +2,7 @@
 export * from './allocator.js';
 export * from './attempt-budget.js';
 export * from './attempt-outcome.js';
+export * from './directory-change-log.js';
 export * from './endpoint-directory.js';
 export * from './endpoint-pool.js';
 export * from './endpoint-record.js';
--- a/packages/stand-ins/src/stand-in-row-store.ts
+++ b/packages/stand-ins/src/stand-in-row-store.ts
@@ -104,14 +104,7 @@
 	 * @param key - Key of the row, in the empty part.
 	 */
 	remove(table: string, key: string): void {
-		const row = this.#rows.get(formatRowId(table, '', key));
-		if (!row) {
-			return;
-		}
-
-		this.#version += 1;
-		this.#rows.delete(formatRowId(table, '', key));
-		this.#changes.push({...row, row_version: this.#version, deleted: true});
+		this.#delete({table, part: '', key});
 		this.#wake();
 	}
 
@@ -203,7 +196,7 @@
 			chunks.push(chunk);
 		}
 
-		const {expected, writes} = JSON.parse(Buffer.concat(chunks).toString()) as {expected: StoredRow[]; writes: StoredRow[]};
+		const {expected, writes, remove} = JSON.parse(Buffer.concat(chunks).toString()) as Record<'expected' | 'writes' | 'remove', StoredRow[]>;
 		const isMet = expected.every(({table, part, key, row_version: version}) => (this.#rows.get(formatRowId(table, part, key))?.row_version ?? 0) === version);
 		if (!isMet) {
 			this.#respond(res, 412, {rows: expected.map(({table, part, key}) => this.#rows.get(formatRowId(table, part, key))).filter(Boolean)});
@@ -214,6 +207,10 @@
 			this.#write(row);
 		}
 
+		for (const row of remove) {
+			this.#delete(row);
+		}
+
 		this.#wake();
 		this.#respond(res, 200, {});
 	}
@@ -225,6 +222,17 @@
 		this.#changes.push(stored);
 	}
 
+	#delete({table, part, key}: Pick<StoredRow, 'table' | 'part' | 'key'>): void {
+		const row = this.#rows.get(formatRowId(table, part, key));
+		if (!row) {
+			return;
+		}
+
+		this.#version += 1;
+		this.#rows.delete(formatRowId(table, part, key));
+		this.#changes.push({...row, row_version: this.#version, deleted: true});
+	}
+
 	#wake(): void {
 		const due = this.#waiters.filter(({table, after}) => this.#changes.some(change => change.table === table && change.row_version > after));
 		this.#waiters = this.#waiters.filter(waiter => !due.includes(waiter));
