fix(http): serve connections that are accepted before the listener stops, and drop what crosses their end

Its request arrived 3 ms later, was read, ran at a server and could not be answered.

Ruled out: Node's closeIdleConnections, which was taken out before and was not the cause.

Change: a connection whose first request has not come stays open for 250 ms, and the shutdown waits for it; on a connection whose end was sent nothing is passed on any more, so that the client may send it again.

--- a/packages/cli/src/edge-host.ts
+++ b/packages/cli/src/edge-host.ts
@@ -112,7 +112,7 @@
 		logger.log(LogLevel.info, 'host-stopping', {inProgress: this.#listener.inProgress});
 		await wait(lameDuckMilliseconds);
 		this.#listener.stop();
-		while (this.#listener.inProgress > 0 && clock() < endsAt) {
+		while (this.#listener.inProgress + this.#listener.expected > 0 && clock() < endsAt) {
 			await wait(10);
 		}
 
--- a/packages/http/src/caller-listener.ts
+++ b/packages/http/src/caller-listener.ts
@@ -26,14 +26,21 @@
 	readonly idleMilliseconds: number;
 };
 
+/** Time after the opening of a connection in which its first request is waited for during the shutdown, in milliseconds. */
+const firstRequestMilliseconds = 250;
+
 /** Requests on one connection. */
 type ConnectionUse = {
+	/** Monotonic time at which the connection was accepted, in milliseconds. */
+	readonly openedAt: number;
 	readonly requests: Set<AbortController>;
+	/** Whether a request has arrived on the connection. */
+	hasCarried: boolean;
 	/** Those that may run at an endpoint. */
 	dispatched: number;
 	/** Whether the connection was refused, so that no further request may run. */
 	isRefused: boolean;
-	/** Whether the head of its last response has been written. */
+	/** Whether its last response has been announced or its end has been sent; what arrives after that counts as not read. */
 	isClosing: boolean;
 };
 
@@ -77,6 +84,11 @@
 		return this.#inProgress;
 	}
 
+	/** Connections that were accepted just now and whose first request may be on its way. */
+	get expected(): number {
+		return [...this.#uses.values()].filter(use => this.#isExpecting(use)).length;
+	}
+
 	/**
 	 * Starts to listen.
 	 *
@@ -116,7 +128,7 @@
 		// waits behind it; only the listening socket is closed here.
 		NetServer.prototype.close.call(this.#server);
 		for (const [socket, use] of this.#uses) {
-			closeIfIdle(socket, use);
+			this.#closeIfIdle(socket, use);
 		}
 	}
 
@@ -130,7 +142,7 @@
 		const arrivedAt = clock();
 		const id = receiver.readId(req);
 		const use = this.#getUse(req.socket);
-		// The connection was answered with its last response; what follows on it counts as not read.
+		use.hasCarried = true;
 		if (use.isClosing) {
 			return;
 		}
@@ -184,7 +196,7 @@
 			}
 
 			if (this.#isStopped) {
-				closeIfIdle(res.req.socket, use);
+				this.#closeIfIdle(res.req.socket, use);
 			}
 		});
 		return controller;
@@ -223,7 +235,7 @@
 		}
 
 		const use: ConnectionUse = {
-			requests: new Set(), dispatched: 0, isRefused: false, isClosing: false,
+			openedAt: this.#options.clock(), requests: new Set(), hasCarried: false, dispatched: 0, isRefused: false, isClosing: false,
 		};
 		this.#uses.set(socket, use);
 		// Responses that wait behind an earlier one are not told by Node.js that their connection is closed.
@@ -260,11 +272,17 @@
 			socket.destroy();
 		});
 	}
-}
 
-/** Ends a connection on which no response is due; bytes that are still being sent are sent first. */
-function closeIfIdle(socket: Socket, {requests}: ConnectionUse): void {
-	if (requests.size === 0) {
-		socket.end();
+	/** Ends a connection on which no response is due; bytes that are still being sent are sent first. */
+	#closeIfIdle(socket: Socket, use: ConnectionUse): void {
+		if (use.requests.size === 0 && !this.#isExpecting(use)) {
+			// A request that crosses the end on its way is not served, so that its caller may send it again.
+			use.isClosing = true;
+			socket.end();
+		}
+	}
+
+	#isExpecting({hasCarried, openedAt}: ConnectionUse): boolean {
+		return !hasCarried && this.#options.clock() - openedAt < firstRequestMilliseconds;
 	}
 }
--- a/packages/http/tests/caller-listener.test.ts
+++ b/packages/http/tests/caller-listener.test.ts
@@ -69,7 +69,7 @@
 		listener.stop();
 		listener.abort();
 	});
-	return {port, reached};
+	return {port, reached, listener};
 }
 
 const wholeRefusal = /^HTTP\/1\.1 \d+ [\s\S]*?\r\n\r\n\{.*\}$/v;
@@ -171,3 +171,32 @@
 	await once(socket, 'close');
 	t.equal(received, 0);
 });
+
+test('guards against a request that is lost because its connection is accepted just before the listener stops', async t => {
+	const {port, reached, listener} = await startListener(t, {});
+	const socket = net.connect(port, '127.0.0.1');
+	await once(socket, 'connect');
+	await wait(20);
+	listener.stop();
+	t.equal(listener.expected, 1);
+	socket.write('GET /x HTTP/1.1\r\nhost: a\r\n\r\n');
+	const [chunk] = await once(socket, 'data') as [Uint8Array];
+	t.match(String(chunk), /^HTTP\/1\.1 503 [\s\S]*connection: close/v);
+	t.equal(reached.length, 1);
+	t.equal(listener.expected, 0);
+	socket.destroy();
+});
+
+test('guards against a request that runs and is not answered because it crosses the end of its connection', async t => {
+	const {port, reached, listener} = await startListener(t, {});
+	const socket = net.connect({port, host: '127.0.0.1', allowHalfOpen: true});
+	const request = 'GET /x HTTP/1.1\r\nhost: a\r\n\r\n';
+	socket.write(request);
+	await once(socket, 'data');
+	t.equal(reached.length, 1);
+	listener.stop();
+	socket.write(request);
+	await wait(100);
+	t.equal(reached.length, 1, 'it is not read, so that its caller may send it again');
+	socket.destroy();
+});
