feat(peers): hosts find each other through the seeds and read the store through one host

Hosts announce themselves to the seeds and learn the others after a second; hosts that are asked by others repeat it each 20 s. At the first start a host waits for the answer of another one; after a restart it reads the store at once, because requests wait for it. The first host of a failure domain asks the first ones of earlier domains, so that one host reads for all. The registry of hosts in the store and its adapter are gone; an unknown number of hosts counts as 60.

--- a/packages/cli/src/edge-host.ts
+++ b/packages/cli/src/edge-host.ts
@@ -96,6 +96,7 @@
 	updateSettings(settings: EdgeSettings): void {
 		this.#settings = settings;
 		this.#budgets.clear();
+		this.#platform.updateSettings(settings);
 		logger.log(LogLevel.info, 'settings-reloaded', {bounds: settings.bounds});
 	}
 
--- a/packages/cli/src/edge-platform.ts
+++ b/packages/cli/src/edge-platform.ts
@@ -1,21 +1,25 @@
 import type {Server} from 'node:http';
 import type {RouteIndex, RouteTable} from '@tanagerrail/configuration';
-import {EndpointFollower, HostRoster, RouteFollower} from '@tanagerrail/membership';
+import {EndpointFollower, RouteFollower, waitUntil} from '@tanagerrail/membership';
 import {
-	createRelayRouter, createRelayServer, PlatformState, RelayClient, RelaySources, StateFollower,
+	createRelayRouter, createRelayServer, HostRoster, PlatformState, RelayClient, RelaySources, StateFollower,
 } from '@tanagerrail/peers';
 import {EndpointDirectory, type DirectoryChange, type EndpointListing} from '@tanagerrail/routing';
 import {createLogger, LogLevel, type Clock} from '@tanagerrail/telemetry';
-import {
-	createEndpointSource, createHostRegistry, createRouteSource, StoreClient,
-} from '@tanagerrail/vihmavesi';
+import {createEndpointSource, createRouteSource, StoreClient} from '@tanagerrail/vihmavesi';
 import type {EdgeSettings} from './edge-settings.js';
 import {openServer} from './open-server.js';
 
 const logger = createLogger('membership');
 
-/** Number of hosts that is assumed until the registry has told it. */
-const assumedHosts = 24;
+/** Number of hosts that is assumed while others are not known, so that all together stay within the budgets. */
+const assumedHosts = 60;
+
+/** Characters by which the lives of a process are told apart; they are part of each question between hosts. */
+const incarnationLength = 8;
+
+/** Time after a restart before the seeds are told, in milliseconds; requests wait for a host that starts. */
+const rosterDelayMilliseconds = 1200;
 
 /** Part of the time in which a leaving endpoint may still get requests after which the registry is read again. */
 const registryShare = 0.55;
@@ -43,6 +47,7 @@
 export class EdgePlatform {
 	readonly directory: EndpointDirectory;
 	readonly #options: EdgePlatformOptions;
+	#settings: EdgeSettings;
 	readonly #store: StoreClient;
 	readonly #routes: RouteFollower;
 	readonly #endpoints: EndpointFollower<EndpointListing>;
@@ -54,9 +59,12 @@
 	readonly #stopped = new AbortController();
 
 	constructor(options: EdgePlatformOptions) {
-		const {settings: {store, host, bounds, listen}, clock, onRoutes, onEndpoints} = options;
+		const {settings: {store, host: {isFirstStart, ...host}, bounds, listen}, clock, onRoutes, onEndpoints} = options;
+		const self = {...host, peerAddress: listen.peers};
+		const incarnation = crypto.randomUUID().slice(0, incarnationLength);
 		const staleMilliseconds = staleShare * bounds.drainMilliseconds;
 		this.#options = options;
+		this.#settings = options.settings;
 		this.#store = new StoreClient({address: store.address});
 		this.directory = new EndpointDirectory({clock});
 		this.#routes = new RouteFollower({
@@ -67,11 +75,19 @@
 				onRoutes(table);
 			},
 		});
+		this.#roster = new HostRoster({
+			clock,
+			self,
+			getSeeds: () => this.#settings.seeds,
+			announceHosts: (address, sightings) => this.#relayClient.announceHosts(address, sightings),
+			listHosts: address => this.#relayClient.listHosts(address),
+		});
 		this.#state = new PlatformState({
 			clock,
-			incarnation: crypto.randomUUID(),
+			incarnation,
 			directory: this.directory,
 			routes: this.#routes,
+			roster: this.#roster,
 			staleMilliseconds,
 			hasSource: () => this.#follower.hasSource,
 			onEndpoints(changes) {
@@ -81,10 +97,12 @@
 		});
 		this.#endpoints = this.#createEndpointFollower();
 		this.#follower = new StateFollower({
-			hostId: host.id,
+			self,
+			isFirstStart,
+			isSettled: () => this.#roster.isSettled,
 			state: this.#state,
 			sources: new RelaySources({
-				clock, hostId: host.id, failureDomain: host.failureDomain, listHosts: () => this.#state.hosts.hosts,
+				clock, hostId: host.id, failureDomain: host.failureDomain, listHosts: () => this.#roster.hosts,
 			}),
 			client: this.#relayClient,
 			readStore: signal => {
@@ -95,25 +113,7 @@
 			getRevision: () => this.#routes.current?.table.revision,
 			staleMilliseconds,
 		});
-		this.#roster = new HostRoster({
-			registry: createHostRegistry(this.#store),
-			clock,
-			self: {
-				id: host.id, failureDomain: host.failureDomain, peerAddress: listen.peers, cores: host.cores,
-			},
-			getListing: () => this.#state.hosts,
-			isReader: () => this.#follower.isReader,
-			onListing: listing => {
-				this.#state.updateHosts(listing);
-			},
-		});
-		this.#relayServer = createRelayServer(createRelayRouter({
-			state: this.#state,
-			holdMilliseconds: staleMilliseconds,
-			onQuestion: hostId => {
-				this.#roster.markAsking(hostId);
-			},
-		}));
+		this.#relayServer = createRelayServer(createRelayRouter({state: this.#state, roster: this.#roster, holdMilliseconds: staleMilliseconds}));
 	}
 
 	/** The configuration in force. */
@@ -128,15 +128,24 @@
 
 	/** Number of hosts that share the budgets. */
 	get hostCount(): number {
-		return this.#state.hosts.hosts.length || assumedHosts;
+		return this.#roster.count ?? assumedHosts;
 	}
 
 	/** Starts to follow the platform and to tell other hosts. */
 	async start(): Promise<void> {
 		const {signal} = this.#stopped;
 		void this.#follower.run(signal);
-		void this.#roster.run(signal);
-		await openServer(this.#relayServer, this.#options.settings.listen.peers);
+		void this.#runRoster(signal);
+		await openServer(this.#relayServer, this.#settings.listen.peers);
+	}
+
+	/**
+	 * Takes over settings that have changed.
+	 *
+	 * @param settings - The new settings; only the seeds count.
+	 */
+	updateSettings(settings: EdgeSettings): void {
+		this.#settings = settings;
 	}
 
 	/** Stops following. */
@@ -148,6 +157,14 @@
 		this.#store.close();
 	}
 
+	async #runRoster(signal: AbortSignal): Promise<void> {
+		if (!this.#settings.host.isFirstStart) {
+			await waitUntil(rosterDelayMilliseconds, signal);
+		}
+
+		await this.#roster.run(signal);
+	}
+
 	#createEndpointFollower(): EndpointFollower<EndpointListing> {
 		const {settings: {bounds}, clock, onEndpoints} = this.#options;
 		return new EndpointFollower<EndpointListing>({
--- a/packages/cli/src/edge-settings.ts
+++ b/packages/cli/src/edge-settings.ts
@@ -12,8 +12,10 @@
 	host: z.object({
 		id: z.string().min(1).meta({description: 'Name of this host'}),
 		failureDomain: z.string().min(1).meta({description: 'Failure domain in which this host runs'}),
+		isFirstStart: z.boolean().default(false).meta({description: 'Whether the whole system starts for the first time'}),
 		cores: z.number().min(0).default(1).meta({description: 'Processor cores that this host may use; the largest host of a failure domain reads the store for the others', unit: 'cores'}),
 	}),
+	seeds: z.array(addressSchema).default([]).meta({description: 'Peer addresses of hosts that know the others; they may be out of date'}),
 	listen: z.object({
 		callers: addressSchema.meta({description: 'Where callers connect'}),
 		readiness: addressSchema.meta({description: 'Where the platform asks whether the host takes new connections'}),
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,5 +1,4 @@
 export * from './host-directory.js';
-export * from './host-roster.js';
 export * from './pause-detector.js';
 export * from './rank-hosts.js';
 export * from './endpoint-follower.js';
--- a/packages/membership/src/platform-sources.ts
+++ b/packages/membership/src/platform-sources.ts
@@ -30,29 +30,3 @@
 export type EndpointSource<E> = {
 	listEndpoints(): ResultAsync<EndpointRegistryListing<E>, Failure>;
 };
-
-/** A host of this system as it is registered. */
-export type RegisteredHost = {
-	readonly id: string;
-	readonly failureDomain: string;
-	/** `ip:port` at which other hosts ask it. */
-	readonly peerAddress: string;
-	/** Processor cores that it may use. */
-	readonly cores: number;
-};
-
-/** The registered hosts. */
-export type HostListing = {
-	readonly hosts: readonly RegisteredHost[];
-	/** Differs between two lists that differ. */
-	readonly version: string;
-};
-
-/** Where the hosts of this system register themselves. */
-export type HostRegistry = {
-	registerHost(host: RegisteredHost): ResultAsync<void, Failure>;
-	/** Lists the hosts that are registered; nothing expires by itself. */
-	listHosts(): ResultAsync<HostListing, Failure>;
-	/** Removes hosts that are gone. */
-	removeHosts(ids: readonly string[]): ResultAsync<void, Failure>;
-};
--- a/packages/peers/src/platform-state.ts
+++ b/packages/peers/src/platform-state.ts
@@ -1,6 +1,7 @@
-import {waitUntil, type HostListing, type RouteFollower} from '@tanagerrail/membership';
+import {waitUntil, type RouteFollower} from '@tanagerrail/membership';
 import type {DirectoryChange, EndpointDirectory} from '@tanagerrail/routing';
 import type {Clock} from '@tanagerrail/telemetry';
+import type {HostRoster} from './host-roster.js';
 import type {RelayedState, RelayQuestion} from './relayed-state.js';
 
 /** What an answer of another host was worth. */
@@ -22,6 +23,7 @@
 	readonly incarnation: string;
 	readonly directory: EndpointDirectory;
 	readonly routes: RouteFollower;
+	readonly roster: HostRoster;
 	/** Age above which the state no longer counts as current, in milliseconds. */
 	readonly staleMilliseconds: number;
 	/** Whether this host reads the store or hears from a host that does. */
@@ -36,7 +38,6 @@
 	readonly #waiters = new Set<AbortController>();
 	#currentAt = -Infinity;
 	#registryVersion = 0;
-	#hosts: HostListing = {version: '', hosts: []};
 
 	constructor(options: PlatformStateOptions) {
 		this.#options = options;
@@ -47,9 +48,9 @@
 		return this.#registryVersion;
 	}
 
-	/** The registered hosts, as far as they are known. */
-	get hosts(): HostListing {
-		return this.#hosts;
+	/** Whether the state has ever been current. */
+	get isKnown(): boolean {
+		return this.#currentAt > -Infinity;
 	}
 
 	/** Time since the state was last known to be current, in milliseconds. */
@@ -74,15 +75,6 @@
 		this.notify();
 	}
 
-	/**
-	 * Takes over the registered hosts.
-	 *
-	 * @param listing - The hosts.
-	 */
-	updateHosts(listing: HostListing): void {
-		this.#hosts = listing;
-	}
-
 	/** Ends the wait of those who wait for news. */
 	notify(): void {
 		const waiters = [...this.#waiters];
@@ -93,7 +85,8 @@
 	}
 
 	/**
-	 * Waits until there is news for a host that asks, the state has been confirmed, or it no longer counts as current.
+	 * Waits until there is news for a host that asks, the state has been confirmed, or it no longer counts as current. A
+	 * state that is about to be known for the first time is waited for too.
 	 *
 	 * @param question - What the host knows.
 	 * @param milliseconds - Longest wait.
@@ -102,8 +95,8 @@
 		const {clock} = this.#options;
 		const endsAt = clock() + milliseconds;
 		const confirmedAt = this.#currentAt;
-		const hasAnswer = () => question.registryVersion <= this.#registryVersion && (this.#hasNews(question) || this.#currentAt !== confirmedAt);
-		while (this.isCurrent && !hasAnswer() && clock() < endsAt) {
+		const hasAnswer = () => this.isKnown && question.registryVersion <= this.#registryVersion && (this.#hasNews(question) || this.#currentAt !== confirmedAt);
+		while ((this.isCurrent || this.#isExpected) && !hasAnswer() && clock() < endsAt) {
 			await this.#waitChange(endsAt - clock());
 		}
 	}
@@ -115,16 +108,19 @@
 	 * @returns The rest.
 	 */
 	describe({incarnation, cursor, revision, hostsVersion}: RelayQuestion): RelayedState {
-		const {directory, routes} = this.#options;
+		const {directory, routes, roster} = this.#options;
+		const isKnown = incarnation === this.#options.incarnation;
 		const table = routes.current?.table;
 		return {
 			incarnation: this.#options.incarnation,
 			hasSource: this.#options.hasSource(),
-			age: this.age,
+			// JSON has no infinite numbers.
+			age: Math.min(this.age, Number.MAX_SAFE_INTEGER),
 			registryVersion: this.#registryVersion,
-			directory: directory.listChanges(incarnation === this.#options.incarnation ? cursor : 0),
+			directory: directory.listChanges(isKnown ? cursor : 0),
 			routes: table && table.revision > revision ? table : undefined,
-			hosts: hostsVersion === this.#hosts.version ? undefined : this.#hosts,
+			hostsVersion: roster.version,
+			hosts: isKnown && hostsVersion === roster.version ? undefined : roster.listSightings(),
 		};
 	}
 
@@ -148,14 +144,15 @@
 			this.#options.routes.adopt(routes);
 		}
 
-		if (hosts) {
-			this.updateHosts(hosts);
-		}
-
+		this.#options.roster.adopt(hosts);
 		this.markCurrent(registryVersion, age);
 		return Adoption.adopted;
 	}
 
+	get #isExpected(): boolean {
+		return !this.isKnown && this.#options.hasSource();
+	}
+
 	async #waitChange(milliseconds: number): Promise<void> {
 		const waiter = new AbortController();
 		this.#waiters.add(waiter);
@@ -165,7 +162,7 @@
 
 	#hasNews({incarnation, cursor, revision, hostsVersion}: RelayQuestion): boolean {
 		const {directory, routes} = this.#options;
-		return incarnation !== this.#options.incarnation || cursor !== directory.cursor || hostsVersion !== this.#hosts.version
+		return incarnation !== this.#options.incarnation || cursor !== directory.cursor || hostsVersion !== this.#options.roster.version
 			|| (routes.current?.table.revision ?? -1) > revision;
 	}
 }
--- a/packages/peers/src/relay-client.ts
+++ b/packages/peers/src/relay-client.ts
@@ -2,6 +2,7 @@
 import {ResultAsync} from 'neverthrow';
 import {createFailure, type Failure} from '@tanagerrail/results';
 import {Pool} from 'undici';
+import type {HostSighting} from './peer-host.js';
 import type {RelayedState, RelayQuestion} from './relayed-state.js';
 import type {RelayRouter} from './relay-router.js';
 
@@ -15,10 +16,12 @@
 export type RelayClientOptions = {
 	/** Time allowed for opening a connection, in milliseconds. */
 	readonly connectMilliseconds: number;
+	/** Time allowed for a call about hosts, in milliseconds. */
+	readonly callMilliseconds: number;
 };
 
 /** Defaults of {@link RelayClientOptions}; a host in the same failure domain answers within 1 ms. */
-export const defaultRelayClientOptions: RelayClientOptions = {connectMilliseconds: 150};
+export const defaultRelayClientOptions: RelayClientOptions = {connectMilliseconds: 150, callMilliseconds: 1000};
 
 type Peer = {readonly pool: Pool; readonly client: TRPCClient<RelayRouter>};
 
@@ -41,15 +44,28 @@
 	 * @returns The answer, or `peer-unreachable`; after that, its connections are not used again.
 	 */
 	ask(address: string, call: RelayCall, question: RelayQuestion, milliseconds: number): ResultAsync<RelayedState, Failure> {
-		const {pool, client} = this.#getPeer(address);
-		return ResultAsync.fromPromise(client[call].query(question, {signal: AbortSignal.timeout(milliseconds)}) as Promise<RelayedState>, error => {
-			if (this.#peers.get(address)?.pool === pool) {
-				this.#peers.delete(address);
-			}
+		return this.#call(address, async (client, signal) => client[call].query(question, {signal}) as Promise<RelayedState>, milliseconds);
+	}
 
-			void pool.destroy();
-			return createFailure('peer-unreachable', {host: address, reason: (error as Error).message});
-		});
+	/**
+	 * Tells a host of other hosts.
+	 *
+	 * @param address - `ip:port` of the host.
+	 * @param sightings - What is told.
+	 * @returns Nothing, or `peer-unreachable`.
+	 */
+	announceHosts(address: string, sightings: readonly HostSighting[]): ResultAsync<void, Failure> {
+		return this.#call(address, async (client, signal) => client.announceHosts.mutate([...sightings], {signal}));
+	}
+
+	/**
+	 * Asks a host which hosts it knows.
+	 *
+	 * @param address - `ip:port` of the host.
+	 * @returns The hosts, or `peer-unreachable`.
+	 */
+	listHosts(address: string): ResultAsync<readonly HostSighting[], Failure> {
+		return this.#call(address, async (client, signal) => client.listHosts.query(undefined, {signal}));
 	}
 
 	/** Closes all connections. */
@@ -61,6 +77,20 @@
 		this.#peers.clear();
 	}
 
+	#call<T>(address: string, call: (client: Peer['client'], signal: AbortSignal) => Promise<T>, milliseconds = this.#options.callMilliseconds): ResultAsync<T, Failure> {
+		const peer = this.#getPeer(address);
+		return ResultAsync.fromPromise(call(peer.client, AbortSignal.timeout(milliseconds)), error => this.#dropPeer(address, peer, error));
+	}
+
+	#dropPeer(address: string, peer: Peer, error: unknown): Failure {
+		if (this.#peers.get(address) === peer) {
+			this.#peers.delete(address);
+		}
+
+		void peer.pool.destroy();
+		return createFailure('peer-unreachable', {host: address, reason: (error as Error).message});
+	}
+
 	#getPeer(address: string): Peer {
 		const known = this.#peers.get(address);
 		if (known) {
@@ -79,11 +109,11 @@
 
 /** The part of `fetch` that tRPC needs, over a pool; the whole `fetch` takes longer to load than a host to start. */
 function createFetch(pool: Pool) {
-	return async (input: unknown, init?: {method?: string; signal?: unknown}) => {
+	return async (input: unknown, {method = 'GET', headers, body, signal}: {method?: string; headers?: unknown; body?: unknown; signal?: unknown} = {}) => {
 		const {pathname, search} = new URL(String(input));
-		const {statusCode, body} = await pool.request({
-			method: (init?.method ?? 'GET'), path: pathname + search, signal: init?.signal,
+		const response = await pool.request({
+			method, path: pathname + search, headers: headers as Record<string, string>, body: body as string, signal,
 		});
-		return {ok: statusCode === 200, status: statusCode, json: async () => body.json()};
+		return {ok: response.statusCode === 200, status: response.statusCode, json: async () => response.body.json()};
 	};
 }
--- a/packages/peers/src/relayed-state.ts
+++ b/packages/peers/src/relayed-state.ts
@@ -1,7 +1,7 @@
 import type {RouteTable} from '@tanagerrail/configuration';
-import type {RegisteredHost} from '@tanagerrail/membership';
 import type {DirectoryNews} from '@tanagerrail/routing';
 import * as z from 'zod';
+import type {HostSighting} from './peer-host.js';
 
 /** What the asking host knows already. */
 export const relayQuestionSchema = z.object({
@@ -15,8 +15,8 @@
 	registryVersion: z.number(),
 	/** Revision of the configuration in force at the asking host; -1 for none. */
 	revision: z.number(),
-	/** Version of the list of hosts. */
-	hostsVersion: z.string(),
+	/** Version of the answering host's list of hosts that it knows; 0 for none. */
+	hostsVersion: z.number(),
 });
 
 /** What the asking host knows already. */
@@ -34,6 +34,8 @@
 	readonly directory: DirectoryNews;
 	/** The configuration, where the asking host has an older one. */
 	readonly routes: RouteTable | undefined;
-	/** The registered hosts, where the asking host has another list. */
-	readonly hosts: {readonly version: string; readonly hosts: readonly RegisteredHost[]} | undefined;
+	/** Version of the answering host's list of hosts. */
+	readonly hostsVersion: number;
+	/** The list, where the asking host has another version. */
+	readonly hosts: readonly HostSighting[] | undefined;
 };
--- a/packages/peers/tests/state-follower.test.ts
+++ b/packages/peers/tests/state-follower.test.ts
@@ -6,14 +6,14 @@
 } from 'neverthrow';
 import {test, type Test} from 'tap';
 import {
-	EndpointFollower, RouteFollower, type EndpointRegistryListing, type RegisteredHost,
+	EndpointFollower, RouteFollower, type EndpointRegistryListing,
 } from '@tanagerrail/membership';
 import {createFailure} from '@tanagerrail/results';
 import {EndpointDirectory, type EndpointListing} from '@tanagerrail/routing';
 import {readMonotonicClock as clock} from '@tanagerrail/telemetry';
 import {chooseLoopbackHost} from '@tanagerrail/stand-ins';
 import {
-	Adoption, createRelayRouter, createRelayServer, PlatformState, RelayClient, RelaySources, StateFollower,
+	Adoption, createRelayRouter, createRelayServer, HostRoster, PlatformState, RelayClient, RelaySources, StateFollower, type PeerHost,
 } from '../src/index.js';
 
 const intervalMilliseconds = 100;
@@ -46,7 +46,7 @@
 	readonly stopped = new AbortController();
 	readonly #client = new RelayClient();
 
-	constructor(store: FakeStore, readonly self: RegisteredHost, hosts: readonly RegisteredHost[]) {
+	constructor(store: FakeStore, readonly self: PeerHost, hosts: readonly PeerHost[]) {
 		const {id, failureDomain} = self;
 		const buildTable = () => ok({
 			revision: store.revision, routes: [], services: [], limits: {
@@ -81,12 +81,17 @@
 			},
 			onOutageEnd() {/* Nothing lapses here. */},
 		});
+		const roster = new HostRoster({
+			clock, self, getSeeds: () => [], announceHosts: () => okAsync(undefined), listHosts: () => okAsync([]),
+		});
+		roster.merge(hosts.map(host => ({...host, seenMilliseconds: 0})));
 		this.state = new PlatformState({
-			clock, incarnation: `${id}-1`, directory: this.directory, routes: this.routes, staleMilliseconds, hasSource: () => this.follower.hasSource, onEndpoints() {/* Not observed. */},
+			clock, incarnation: `${id}-1`, directory: this.directory, routes: this.routes, roster, staleMilliseconds, hasSource: () => this.follower.hasSource, onEndpoints() {/* Not observed. */},
 		});
-		this.state.updateHosts({version: '1', hosts});
 		this.follower = new StateFollower({
-			hostId: id,
+			self,
+			isFirstStart: false,
+			isSettled: () => true,
 			state: this.state,
 			sources: new RelaySources({
 				clock, hostId: id, failureDomain, listHosts: () => hosts, avoidMilliseconds: 100,
@@ -103,7 +108,7 @@
 			checkMilliseconds: 50,
 			answerMilliseconds: 100,
 		});
-		this.server = createRelayServer(createRelayRouter({state: this.state, holdMilliseconds: staleMilliseconds, onQuestion() {/* Not observed. */}}));
+		this.server = createRelayServer(createRelayRouter({state: this.state, holdMilliseconds: staleMilliseconds, roster}));
 	}
 
 	async start(): Promise<void> {
@@ -130,7 +135,7 @@
 async function startHosts(t: Test) {
 	const store = new FakeStore();
 	store.endpoints = [buildEndpoint('e1'), buildEndpoint('e2')];
-	const listed = ['h1', 'h2', 'h3'].map((id): RegisteredHost => ({
+	const listed = ['h1', 'h2', 'h3'].map((id): PeerHost => ({
 		id, failureDomain: 'a', peerAddress: `${chooseLoopbackHost()}:7200`, cores: 1,
 	}));
 	const hosts = listed.map(self => new FakeHost(store, self, listed));
@@ -214,7 +219,7 @@
 test('guards against a state that goes back to an older one', async t => {
 	const {hosts: [host]} = await startHosts(t);
 	const told = host!.state.describe({
-		hostId: 'h2', incarnation: '', cursor: 0, registryVersion: 0, revision: -1, hostsVersion: '',
+		hostId: 'h2', incarnation: '', cursor: 0, registryVersion: 0, revision: -1, hostsVersion: 0,
 	});
 	t.equal(host!.state.adopt({...told, registryVersion: 1}), Adoption.behind, 'the registry at an earlier version');
 	t.equal(host!.state.adopt({...told, age: staleMilliseconds + 1}), Adoption.stale, 'an old reading');
