fix(routing): count the age of a retry budget from the start of the host

Cause: the budget of a service is made with the first request for it, and the slack builds up from then on.

Change: the host says since when it has known what it spends; changed settings start that time anew.

--- a/packages/cli/src/edge-host.ts
+++ b/packages/cli/src/edge-host.ts
@@ -39,6 +39,8 @@
 	readonly #metrics = new TextMetrics();
 	readonly #readinessServer: Server;
 	readonly #metricsServer: Server;
+	/** Since when the budgets have known what was spent, as monotonic time in milliseconds. */
+	#budgetsSince = clock();
 	#isStopping = false;
 	#wasReady = false;
 
@@ -96,6 +98,7 @@
 	updateSettings(settings: EdgeSettings): void {
 		this.#settings = settings;
 		this.#budgets.clear();
+		this.#budgetsSince = clock();
 		this.#platform.updateSettings(settings);
 		logger.log(LogLevel.info, 'settings-reloaded', {bounds: settings.bounds});
 	}
@@ -177,7 +180,12 @@
 
 		const {retryRatio, retrySlack, retryWindowSeconds} = this.#settings.bounds;
 		const budget = new AttemptBudget({
-			clock, ratio: retryRatio, slack: retrySlack, windowMilliseconds: retryWindowSeconds * 1000, getHostCount: () => this.#platform.hostCount,
+			clock,
+			ratio: retryRatio,
+			slack: retrySlack,
+			windowMilliseconds: retryWindowSeconds * 1000,
+			getHostCount: () => this.#platform.hostCount,
+			startedAt: this.#budgetsSince,
 		});
 		this.#budgets.set(service, budget);
 		return budget;
--- a/packages/routing/src/attempt-budget.ts
+++ b/packages/routing/src/attempt-budget.ts
@@ -11,6 +11,8 @@
 	readonly windowMilliseconds: number;
 	/** Number of hosts that share the budget. */
 	readonly getHostCount: () => number;
+	/** Monotonic time in milliseconds since when this host has known what it spends. */
+	readonly startedAt: number;
 	/** Part of the budget that is used, between 0 and 1; the rest covers what hosts do not know of each other. */
 	readonly usableShare: number;
 };
@@ -24,23 +26,21 @@
  */
 export class AttemptBudget {
 	readonly #options: AttemptBudgetOptions;
-	readonly #startedAt: number;
 	/** Monotonic times within the last window, oldest first. */
 	readonly #requests: number[] = [];
 	readonly #attempts: number[] = [];
 
 	constructor(options: Partial<AttemptBudgetOptions> & Omit<AttemptBudgetOptions, 'usableShare'>) {
 		this.#options = {...defaultAttemptBudgetOptions, ...options};
-		this.#startedAt = options.clock();
 	}
 
 	/** Attempts that may start now. */
 	get available(): number {
-		const {clock, ratio, slack, windowMilliseconds, getHostCount, usableShare} = this.#options;
+		const {clock, ratio, slack, windowMilliseconds, getHostCount, startedAt, usableShare} = this.#options;
 		const now = clock();
 		this.#expire(now);
 		// A restarted host does not know what it spent before, so its part of the slack comes back over one window.
-		const age = Math.min(1, (now - this.#startedAt) / windowMilliseconds);
+		const age = Math.min(1, (now - startedAt) / windowMilliseconds);
 		const earned = (ratio * this.#requests.length) + (age * slack / Math.max(1, getHostCount()));
 		return (usableShare * earned) - this.#attempts.length;
 	}
--- a/packages/routing/tests/attempt-budget.test.ts
+++ b/packages/routing/tests/attempt-budget.test.ts
@@ -8,7 +8,7 @@
 	const hosts = 10;
 	const [ratio, slack, windowMilliseconds] = [0.2, 50, 10_000];
 	const budgets = Array.from({length: hosts}, () => new AttemptBudget({
-		clock: () => time.now, ratio, slack, windowMilliseconds, getHostCount: () => hosts,
+		clock: () => time.now, ratio, slack, windowMilliseconds, getHostCount: () => hosts, startedAt: 0,
 	}));
 	const requests: number[] = [];
 	const attempts: number[] = [];
@@ -33,10 +33,18 @@
 	}
 });
 
+test('guards against a first request that may not be repeated on a host that has long been running', async t => {
+	const budget = new AttemptBudget({
+		clock: () => 60_000, ratio: 0.2, slack: 50, windowMilliseconds: 10_000, getHostCount: () => 10, startedAt: 0,
+	});
+	budget.addRequest();
+	t.ok(budget.take());
+});
+
 test('guards against a second slack for a host that has just restarted', async t => {
 	const time = {now: 0};
 	const budget = new AttemptBudget({
-		clock: () => time.now, ratio: 0, slack: 100, windowMilliseconds: 10_000, getHostCount: () => 1,
+		clock: () => time.now, ratio: 0, slack: 100, windowMilliseconds: 10_000, getHostCount: () => 1, startedAt: 0,
 	});
 	t.notOk(budget.take());
 	time.now = 5000;
