--- a/packages/bench/src/scenarios/fleet.ts
+++ b/packages/bench/src/scenarios/fleet.ts
@@ -94,6 +94,18 @@
 		return text.split('\n').filter(Boolean).map(line => parseLine(line));
 	}
 
+	/**
+	 * Copies the logs of the entries, so that they outlast the fleet.
+	 *
+	 * @param directory - Where to; it is created.
+	 */
+	saveLogs(directory: string): void {
+		fs.mkdirSync(directory, {recursive: true});
+		for (const file of fs.readdirSync(this.directory).filter(name => name.endsWith('.log'))) {
+			fs.copyFileSync(path.join(this.directory, file), path.join(directory, file));
+		}
+	}
+
 	/** Stops everything at once and removes the directory. */
 	async stop(): Promise<void> {
 		const processes = [...this.entries.values()].map(entry => entry.process);
--- a/packages/bench/src/scenarios/run-scenario.ts
+++ b/packages/bench/src/scenarios/run-scenario.ts
@@ -10,6 +10,8 @@
 export type RunScenarioOptions = {
 	/** Script of the entry processes in place of the product's; tests use it to switch a mechanism off. */
 	readonly entryScript?: string;
+	/** Directory for the logs of the entries when a step does not hold; by default they are removed. */
+	readonly logDirectory?: string;
 };
 
 /**
@@ -19,7 +21,7 @@
  * @param options - Variant of the entry processes.
  * @throws ScenarioError `scenario-failed` with file and line of the step that did not hold.
  */
-export async function runScenario(scenario: Scenario, {entryScript}: RunScenarioOptions = {}): Promise<void> {
+export async function runScenario(scenario: Scenario, {entryScript, logDirectory}: RunScenarioOptions = {}): Promise<void> {
 	const fleet = await Fleet.start({
 		entries: scenario.entries,
 		failureDomains: scenario.failureDomains,
@@ -35,6 +37,12 @@
 	const world = new ScenarioWorld(scenario, fleet);
 	try {
 		await runSteps(scenario, world);
+	} catch (error) {
+		if (logDirectory) {
+			fleet.saveLogs(logDirectory);
+		}
+
+		throw error;
 	} finally {
 		await world.caller.stop();
 		await fleet.stop();
--- a/packages/bench/tests/scenarios/scenario-files.ts
+++ b/packages/bench/tests/scenarios/scenario-files.ts
@@ -14,6 +14,16 @@
 	return parseScenario(fs.readFileSync(path.join(directory, `${name}.yaml`), 'utf8'), `scenarios/${name}.yaml`);
 }
 
+/**
+ * Names the directory in which the logs of a scenario that failed are kept.
+ *
+ * @param name - File name of the scenario without its extension.
+ * @returns The directory.
+ */
+export function getFailedLogDirectory(name: string): string {
+	return path.resolve(directory, '../build/scenario-logs', name);
+}
+
 /**
  * Lists the scenarios of the repository.
  *
