feat(routing): keep to endpoints to which a connection is open

Ruled out: a fixed subset of endpoints for each host, which leaves hosts without a fast one when neighbours slow those down.

Change: an endpoint without an idle connection is asked 0.4 usual durations later. Pools of addresses that are no longer in use are forgotten.

--- a/packages/cli/src/edge-host.ts
+++ b/packages/cli/src/edge-host.ts
@@ -67,6 +67,7 @@
 			listEndpoints: service => this.#platform.directory.list(service),
 			sendProbe: async endpoint => probes.probe(endpoint),
 			takeProbe: service => probeBudget.take(service),
+			isConnected: ({address}) => this.#connections.hasIdle(address),
 		});
 		this.#listener = this.#createListener();
 		this.#readinessServer = createServer(this.#serveReadiness());
@@ -156,7 +157,9 @@
 	}
 
 	#takeEndpoints(): void {
-		this.#selector.dropOthers(new Set(this.#platform.directory.all.map(({id}) => id)));
+		const {all} = this.#platform.directory;
+		this.#selector.dropOthers(new Set(all.map(({id}) => id)));
+		this.#connections.dropOthers(new Set(all.map(({address}) => address)));
 		this.#logReadiness();
 	}
 
--- a/packages/http/src/connection-pool.ts
+++ b/packages/http/src/connection-pool.ts
@@ -41,6 +41,11 @@
 		return this.#all.size;
 	}
 
+	/** Connections that carry nothing. */
+	get idle(): number {
+		return this.#idle.length;
+	}
+
 	/**
 	 * Takes a connection out of the pool.
 	 *
--- a/packages/http/src/endpoint-connections.ts
+++ b/packages/http/src/endpoint-connections.ts
@@ -26,6 +26,29 @@
 		return pool;
 	}
 
+	/**
+	 * Tells whether a request to an endpoint would need no new connection.
+	 *
+	 * @param address - `ip:port` of the endpoint.
+	 * @returns Whether one is open and idle.
+	 */
+	hasIdle(address: string): boolean {
+		return (this.#pools.get(address)?.idle ?? 0) > 0;
+	}
+
+	/**
+	 * Forgets the pools of addresses that are no longer in use and to which no connection is open.
+	 *
+	 * @param addresses - Addresses in use.
+	 */
+	dropOthers(addresses: ReadonlySet<string>): void {
+		for (const [address, pool] of this.#pools) {
+			if (pool.size === 0 && !addresses.has(address)) {
+				this.#pools.delete(address);
+			}
+		}
+	}
+
 	/** Closes all pools. */
 	close(): void {
 		for (const pool of this.#pools.values()) {
--- a/packages/routing/src/endpoint-selector.ts
+++ b/packages/routing/src/endpoint-selector.ts
@@ -86,6 +86,8 @@
 	readonly sendProbe: SendProbe<C>;
 	/** Whether one more probe is within the measuring budget. */
 	readonly takeProbe: (service: string) => boolean;
+	/** Whether a connection to an endpoint is open and idle. */
+	readonly isConnected: (endpoint: DirectoryEndpoint) => boolean;
 	/** Returns a random number from 0 to below 1. */
 	readonly draw: () => number;
 	/** Probes sent at once in the own failure domain. */
@@ -106,6 +108,7 @@
 
 /** Defaults of {@link EndpointSelectorOptions}. */
 export const defaultEndpointSelectorOptions = {
+	isConnected: () => true,
 	draw: Math.random,
 	nearBatch: 2,
 	farBatch: 2,
@@ -125,6 +128,12 @@
 /** Rating that is expected of an endpoint without a recent report. */
 const unknownRating = 1.3;
 
+/**
+ * How much later an endpoint to which no connection is open is asked, in usual durations of the work. Among many endpoints
+ * a host so keeps to a few, whose connections stay in use; a new one takes time, and a slot of the endpoint for a moment.
+ */
+const connectionCost = 0.4;
+
 /** Distance that does not count as a reason to wait for a better endpoint, in usual durations of the work. */
 const usualDistance = 0.6;
 
@@ -261,7 +270,7 @@
 
 	/** Sorts the endpoints of the own failure domain and the others, the most promising first. */
 	#rank(request: SelectionRequest): [near: DirectoryEndpoint[], far: DirectoryEndpoint[]] {
-		const {clock, draw, failureDomain} = this.#options;
+		const {clock, draw, failureDomain, isConnected} = this.#options;
 		const {service, excluded} = request;
 		const now = clock();
 		const scores = new Map<string, number>();
@@ -270,7 +279,7 @@
 			const record = this.getRecord(endpoint);
 			const isUseful = now - record.reportedAt < usefulReportAge;
 			const expected = isUseful ? this.#rate(endpoint, request) : unknownRating + (record.inFlight / endpoint.slots) + (now < endpoint.coldUntil ? 1 : 0);
-			scores.set(endpoint.id, expected + (draw() * 0.5) + (record.isAvoided(now) ? 100 : 0));
+			scores.set(endpoint.id, expected + (draw() * 0.5) + (isConnected(endpoint) ? 0 : connectionCost) + (record.isAvoided(now) ? 100 : 0));
 		}
 
 		endpoints.sort((a, b) => scores.get(a.id)! - scores.get(b.id)!);
--- a/packages/routing/tests/endpoint-selector.test.ts
+++ b/packages/routing/tests/endpoint-selector.test.ts
@@ -130,3 +130,17 @@
 	t.match(await select(), {endpoint: {id: 'b'}, reason: {probes: 0}});
 	t.equal(asked.length, 0);
 });
+
+test('guards against a new connection for each request where there are many endpoints', async t => {
+	const connected = new Set(['e3', 'e7']);
+	const answers = Object.fromEntries(Array.from({length: 12}, (_, index) => [`e${index}`, {}]));
+	const {select, asked} = createSelector(answers, {isConnected: ({id}) => connected.has(id), draw: Math.random});
+	t.match(await select(), {reason: {probes: 2}});
+	t.same([...asked].sort(), ['e3', 'e7']);
+});
+
+test('endpoints without a connection are asked when the others are slow', async t => {
+	const {select, asked} = createSelector({e1: {slowness: 4}, e2: {slowness: 4}, e3: {}}, {isConnected: ({id}) => id !== 'e3'});
+	t.match(await select(), {endpoint: {id: 'e3'}});
+	t.same([...asked].sort(), ['e1', 'e2', 'e3']);
+});
