fix(routing): send to an endpoint that is alive when all answers to probes are late

Cause: a selection takes what has answered within 40 ms and refuses otherwise. Where the way to all endpoints takes longer than that (another region, 55 ms one way) or the host is short of processor time, every request was refused with 503 code 2002 although the endpoints were idle.

Change: an endpoint that has not answered in time, but has done so within 1.5 s, is taken when there is no other; four such endpoints are enough. Endpoints that answer as another one, or not at all, are not taken. Types of a selection have a file of their own.

--- a/packages/routing/src/endpoint-selector.ts
+++ b/packages/routing/src/endpoint-selector.ts
@@ -2,80 +2,9 @@
 import type {DirectoryEndpoint} from './endpoint-directory.js';
 import {EndpointRecord, type EndpointReport} from './endpoint-record.js';
 import {isFull, computeRating} from './compute-rating.js';
-
-/** What a probe found. */
-export const ProbeVerdict = {
-	/** The endpoint answered and takes work. */
-	healthy: 'healthy',
-	/** The endpoint answered that it takes no work. */
-	unhealthy: 'unhealthy',
-	/** Another endpoint answered at its address. */
-	replaced: 'replaced',
-	/** No answer. */
-	unreachable: 'unreachable',
-} as const;
-
-/** One of the verdicts of a probe. */
-export type ProbeVerdict = typeof ProbeVerdict[keyof typeof ProbeVerdict];
-
-/** A connection that has just carried an answer of the endpoint. */
-export type ProbedConnection = {
-	/** Gives the connection back unused. */
-	release(): void;
-};
-
-/** Answer to one probe. */
-export type ProbeAnswer<C extends ProbedConnection> = {
-	readonly verdict: ProbeVerdict;
-	/** Load and speed, where the endpoint tells them. */
-	readonly report: EndpointReport | undefined;
-	/** The connection that carried the answer, kept for the request; nothing when it cannot be used again. */
-	readonly connection: C | undefined;
-};
-
-/** Asks one endpoint for its health and load. */
-export type SendProbe<C extends ProbedConnection> = (endpoint: DirectoryEndpoint) => Promise<ProbeAnswer<C>>;
-
-/** What a request needs. */
-export type SelectionRequest = {
-	readonly service: string;
-	/** Endpoints that must not be chosen. */
-	readonly excluded: ReadonlySet<string>;
-	/** Usual size of the response in bytes; large ones stay in the own failure domain. */
-	readonly responseBytes: number;
-	/** Rating above which the selection gives up, apart from the cost of a usual distance; any will do by default. */
-	readonly worstRating?: number;
-	/** Probes that may be sent; the option of the selector by default. */
-	readonly maximumProbes?: number;
-};
-
-/** Why an endpoint was chosen. */
-export type SelectionReason = {
-	readonly rating: number;
-	readonly report: EndpointReport | undefined;
-	/** Age of the report in milliseconds. */
-	readonly reportAge: number;
-	/** Number of probes sent for the selection. */
-	readonly probes: number;
-	/** Time that the selection took, in milliseconds. */
-	readonly milliseconds: number;
-	readonly isLastResort: boolean;
-};
-
-/** The chosen endpoint. */
-export type Selection<C extends ProbedConnection> = {
-	readonly endpoint: DirectoryEndpoint;
-	readonly record: EndpointRecord;
-	readonly connection: C | undefined;
-	readonly reason: SelectionReason;
-};
-
-/** Why no endpoint was chosen. */
-export type SelectionRefusal = {
-	readonly kind: 'none' | 'full' | 'slow';
-	readonly probes: number;
-	readonly milliseconds: number;
-};
+import {
+	ProbeVerdict, type ProbedConnection, type Selection, type SelectionRefusal, type SelectionRequest, type SendProbe,
+} from './selection.js';
 
 /** Options of {@link EndpointSelector}. */
 export type EndpointSelectorOptions<C extends ProbedConnection> = {
@@ -134,6 +63,12 @@
  */
 const connectionCost = 0.4;
 
+/** Age of a report up to which an endpoint that has not answered a probe in time counts as alive, in milliseconds. */
+const aliveMilliseconds = 1500;
+
+/** Endpoints alive whose answers are late after which no more are asked. */
+const lateLimit = 4;
+
 /** Distance that does not count as a reason to wait for a better endpoint, in usual durations of the work. */
 const usualDistance = 0.6;
 
@@ -149,6 +84,15 @@
 	readonly isHealthy: boolean;
 };
 
+type ProbedEndpoints<C extends ProbedConnection> = {
+	readonly request: SelectionRequest;
+	readonly probes: number;
+	readonly milliseconds: number;
+	readonly endpoints: readonly DirectoryEndpoint[];
+	/** Endpoints alive whose answers are late. */
+	readonly late: ReadonlyArray<Candidate<C>>;
+};
+
 /**
  * Chooses endpoints by asking a few of them immediately before a request is sent, because their load and speed change
  * many times a second. Endpoints of the own failure domain are asked first; others only when those are slow or full.
@@ -243,12 +187,13 @@
 		const [near, far] = this.#rank(request);
 		const fresh = this.#findFresh(near, request);
 		const candidates: Array<Candidate<C>> = fresh ? [fresh] : [];
+		const late: Array<Candidate<C>> = [];
 		let probes = 0;
 		for (const batch of [...splitBatches(near, nearBatch), ...splitBatches(far, farBatch)]) {
 			const isFar = far.includes(batch[0]!);
 			const bestRating = findBest(candidates)?.rating ?? Infinity;
 			const target = isFar ? goodRating + this.#getDistance(batch[0]!, request) : goodRating;
-			if (bestRating <= target || probes >= maximumProbes) {
+			if (bestRating <= target || probes >= maximumProbes || (candidates.length === 0 && late.length >= lateLimit)) {
 				break;
 			}
 
@@ -260,11 +205,13 @@
 			}
 
 			probes += allowed.length;
-			candidates.push(...await this.#probeAll(allowed, request));
+			const {answered, silent} = await this.#probeAll(allowed, request);
+			candidates.push(...answered);
+			late.push(...this.#listLate(silent, request));
 		}
 
 		return this.#conclude(candidates, {
-			request, probes, milliseconds: clock() - startedAt, endpoints: [...near, ...far],
+			request, probes, milliseconds: clock() - startedAt, endpoints: [...near, ...far], late,
 		});
 	}
 
@@ -292,16 +239,21 @@
 	}
 
 	/** Asks endpoints side by side; an answer that comes too late gives its connection back. */
-	async #probeAll(endpoints: readonly DirectoryEndpoint[], request: SelectionRequest): Promise<Array<Candidate<C>>> {
+	async #probeAll(endpoints: readonly DirectoryEndpoint[], request: SelectionRequest): Promise<{answered: Array<Candidate<C>>; silent: DirectoryEndpoint[]}> {
 		const {probeMilliseconds} = this.#options;
-		const candidates: Array<Candidate<C>> = [];
+		const answered: Array<Candidate<C>> = [];
+		const silent = new Set(endpoints);
 		let isOpen = true;
 		const probes = endpoints.map(async endpoint => {
 			const candidate = await this.#probe(endpoint, request);
 			if (!isOpen) {
 				candidate?.connection?.release();
-			} else if (candidate) {
-				candidates.push(candidate);
+				return;
+			}
+
+			silent.delete(endpoint);
+			if (candidate) {
+				answered.push(candidate);
 			}
 		});
 		let timer: NodeJS.Timeout | undefined;
@@ -314,7 +266,7 @@
 		await Promise.race([Promise.all(probes), timeout]);
 		clearTimeout(timer);
 		isOpen = false;
-		return candidates;
+		return {answered, silent: [...silent]};
 	}
 
 	async #probe(endpoint: DirectoryEndpoint, request: SelectionRequest): Promise<Candidate<C> | undefined> {
@@ -349,6 +301,16 @@
 		return best && best.rating <= goodRating ? best : undefined;
 	}
 
+	/**
+	 * Lists endpoints that have not answered in time but are alive. Where the way to all endpoints takes longer than a probe
+	 * may take, or this host is short of processor time, a request is sent to one of them rather than refused.
+	 */
+	#listLate(endpoints: readonly DirectoryEndpoint[], request: SelectionRequest): Array<Candidate<C>> {
+		const oldest = this.#options.clock() - aliveMilliseconds;
+		return endpoints.filter(endpoint => this.getRecord(endpoint).reportedAt >= oldest)
+			.map(endpoint => this.#recall(endpoint, request)).filter(candidate => candidate !== undefined);
+	}
+
 	/** Judges an endpoint by what is known of it; those that have failed of late are left out. */
 	#recall(endpoint: DirectoryEndpoint, request: SelectionRequest): Candidate<C> | undefined {
 		const record = this.getRecord(endpoint);
@@ -388,10 +350,10 @@
 		return this.#computePace(endpoint) + Math.max(0, this.#getDistance(endpoint, request) - usualDistance);
 	}
 
-	#conclude(candidates: Array<Candidate<C>>, found: {request: SelectionRequest; probes: number; milliseconds: number; endpoints: readonly DirectoryEndpoint[]}): Selection<C> | SelectionRefusal {
-		const {request, probes, milliseconds, endpoints} = found;
+	#conclude(candidates: Array<Candidate<C>>, found: ProbedEndpoints<C>): Selection<C> | SelectionRefusal {
+		const {request, probes, milliseconds, endpoints, late} = found;
 		const healthy = findBest(candidates);
-		const lastResort = candidates.find(candidate => !candidate.isHealthy && !candidate.isFull);
+		const lastResort = candidates.find(candidate => !candidate.isHealthy && !candidate.isFull) ?? (candidates.length === 0 ? findBest(late) : undefined);
 		const chosen = healthy ?? lastResort;
 		for (const candidate of candidates) {
 			if (candidate !== chosen) {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -16,6 +16,7 @@
 export * from './quarantine.js';
 export * from './compute-rating.js';
 export * from './retry-budget.js';
+export * from './selection.js';
 export * from './slot-share.js';
 export * from './wait-estimator.js';
 export * from './work-queue.js';
--- a/packages/routing/tests/endpoint-selector.test.ts
+++ b/packages/routing/tests/endpoint-selector.test.ts
@@ -1,9 +1,8 @@
 import {test} from 'tap';
 import type {DirectoryEndpoint} from '../src/endpoint-directory.js';
 import type {EndpointReport} from '../src/endpoint-record.js';
-import {
-	EndpointSelector, ProbeVerdict, type EndpointSelectorOptions, type ProbedConnection, type SelectionRequest,
-} from '../src/endpoint-selector.js';
+import {EndpointSelector, type EndpointSelectorOptions} from '../src/endpoint-selector.js';
+import {ProbeVerdict, type ProbedConnection, type SelectionRequest} from '../src/selection.js';
 
 type Answer = Partial<EndpointReport> & {readonly verdict?: ProbeVerdict; readonly domain?: string; readonly silent?: boolean};
 
@@ -134,7 +133,7 @@
 test('guards against a new connection for each request where there are many endpoints', async t => {
 	const connected = new Set(['e3', 'e7']);
 	const answers = Object.fromEntries(Array.from({length: 12}, (_, index) => [`e${index}`, {}]));
-	const {select, asked} = createSelector(answers, {isConnected: ({id}) => connected.has(id), draw: Math.random});
+	const {select, asked} = createSelector(answers, {isConnected: ({id}) => connected.has(id), draw: () => 0.5});
 	t.match(await select(), {reason: {probes: 2}});
 	t.same([...asked].sort(), ['e3', 'e7']);
 });
@@ -144,3 +143,23 @@
 	t.match(await select(), {endpoint: {id: 'e3'}});
 	t.same([...asked].sort(), ['e1', 'e2', 'e3']);
 });
+
+test('guards against refusals where all answers take longer than a probe may', async t => {
+	const {selector, select} = createSelector({near: {silent: true}, far: {silent: true, domain: 'b'}});
+	t.match(await select(), {kind: 'full', probes: 2}, 'an endpoint that has never answered is not taken');
+	for (const id of ['near', 'far']) {
+		selector.getRecord({id, startedAt: 1}).updateReport({
+			running: id === 'near' ? 2 : 0, waiting: 0, slots: 3, slowness: 1,
+		}, 400);
+	}
+
+	t.match(await select(), {endpoint: {id: 'far'}, connection: undefined, reason: {isLastResort: true}});
+});
+
+test('guards against requests to an endpoint that has not answered for long', async t => {
+	const {selector, select} = createSelector({near: {silent: true}}, {clock: () => 5000});
+	selector.getRecord({id: 'near', startedAt: 1}).updateReport({
+		running: 0, waiting: 0, slots: 3, slowness: 1,
+	}, 3000);
+	t.match(await select(), {kind: 'full'});
+});
