feat(bench): a fault soak of edge hosts

Real tanagerrail edge processes with a store, endpoints and clients of the bench; relays delay, reset, cut one way or silence connections; signals stop, pause, kill and reload processes, singly, in series and overlapping; the store refuses, stays silent, forgets its history. Promises are checked while it runs: whole responses, at most one run, true refusals, answers to what has run, the right service, deadlines, leaving endpoints, configuration in force and never older, retries within the budget, recovery, processes that stay, readable logs.

--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -2,6 +2,7 @@
 import process from 'node:process';
 import {cac} from 'cac';
 import {registerChaos} from './chaos/chaos-command.js';
+import {registerSoak} from './soak/index.js';
 import {experiments, type ExperimentReport} from './experiments/index.js';
 import {renderPlot} from './report/render-plot.js';
 
@@ -22,6 +23,7 @@
 	.option('--quick', 'Shorten the run; its figures mean little')
 	.action(runExperiment);
 registerChaos(program);
+registerSoak(program);
 program.help();
 
 async function runExperiment(name: string, {seed, json, plot, quick = false}: BenchOptions): Promise<void> {
--- /dev/null
+++ b/packages/bench/src/soak/index.ts
@@ -0,0 +1,2 @@
+export {registerSoak} from './soak-command.js';
+export {runSoak, type SoakOptions, type SoakResult} from './run-soak.js';
--- /dev/null
+++ b/packages/bench/src/soak/run-soak.ts
@@ -0,0 +1,108 @@
+import {setTimeout as wait} from 'node:timers/promises';
+import {RandomSource} from '../load/random-source.js';
+import {checkPromises, checkRecovery, type SoakBreach} from './check-promises.js';
+import {planSoak} from './plan-soak.js';
+import {SoakClient} from './soak-client.js';
+import {soakFaults, type SoakFault} from './soak-faults.js';
+import {SoakFleet} from './soak-fleet.js';
+
+/** Options of {@link runSoak}. */
+export type SoakOptions = {
+	readonly seed: number;
+	/** Time in which faults begin, in seconds. */
+	readonly seconds: number;
+	readonly hosts: number;
+	readonly clients: number;
+	/** Faults of the run; drawn from the seed by default. */
+	readonly plan?: readonly SoakFault[];
+	/** Script of the hosts in place of the product's; tests use it to switch a mechanism off. */
+	readonly script?: string;
+	/** Called with a line of progress. */
+	readonly onProgress: (text: string) => void;
+};
+
+/** Defaults of {@link SoakOptions}. */
+export const defaultSoakOptions = {
+	seed: 1, seconds: 20, hosts: 6, clients: 24, onProgress: () => undefined,
+};
+
+/** What a soak found. */
+export type SoakResult = {
+	readonly breaches: readonly SoakBreach[];
+	readonly faults: number;
+	readonly requests: number;
+	/** Requests by status or error. */
+	readonly ends: Readonly<Record<string, number>>;
+	/** Directory with the logs of the hosts; it is the caller's to remove. */
+	readonly directory: string;
+};
+
+/** Time between two checks while the load runs, in milliseconds. */
+const checkMilliseconds = 2000;
+
+/** Time after the last fault after which everything works again, in milliseconds. */
+const recoveryMilliseconds = 5000;
+
+/** Load after that time, in milliseconds. */
+const calmMilliseconds = 2000;
+
+/**
+ * Runs clients against hosts while faults come and go, and checks the promises meanwhile.
+ *
+ * @param options - Seed, length and size.
+ * @returns What was broken, and counts.
+ */
+export async function runSoak(options: Partial<SoakOptions>): Promise<SoakResult> {
+	const {seed, seconds, hosts, clients, plan: given, script, onProgress} = {...defaultSoakOptions, ...options};
+	const fleet = new SoakFleet({hosts, script, random: new RandomSource(seed + 1)});
+	const plan = given ?? planSoak(new RandomSource(seed), seconds * 1000);
+	const breaches = new Map<string, SoakBreach>();
+	const note = (found: readonly SoakBreach[]) => {
+		for (const breach of found) {
+			const key = `${breach.promise} ${breach.subject}`;
+			if (!breaches.has(key)) {
+				breaches.set(key, breach);
+				onProgress(`${breach.promise}: ${breach.detail}`);
+			}
+		}
+	};
+
+	const ended = new AbortController();
+	try {
+		await fleet.start();
+		const load = Promise.all(Array.from({length: clients}, async (_, index) => new SoakClient({
+			name: `client-${index}`, fleet, random: new RandomSource((seed * clients) + index),
+		}).run(ended.signal)));
+		const checker = setInterval(() => {
+			note(checkPromises(fleet));
+		}, checkMilliseconds);
+		await Promise.all(plan.map(async fault => {
+			await wait(fault.from);
+			onProgress(`${fault.from} ms: ${fault.kind}, ${fault.milliseconds} ms`);
+			await soakFaults[fault.kind]!(fleet, fault);
+		}));
+		await wait(recoveryMilliseconds);
+		const calmSince = performance.now();
+		await wait(calmMilliseconds);
+		ended.abort();
+		await load;
+		clearInterval(checker);
+		note([...checkPromises(fleet), ...checkRecovery(fleet, calmSince)]);
+	} finally {
+		await fleet.stop();
+	}
+
+	return {
+		breaches: [...breaches.values()], faults: plan.length, requests: fleet.ledger.requests.size, ends: countEnds(fleet), directory: fleet.directory,
+	};
+}
+
+function countEnds({ledger}: SoakFleet): Record<string, number> {
+	const counts: Record<string, number> = {};
+	for (const {kind, status, error} of ledger.requests.values()) {
+		const name = `${kind} ${status ?? error}`;
+		counts[name] = (counts[name] ?? 0) + 1;
+	}
+
+	return counts;
+}
--- /dev/null
+++ b/packages/bench/src/soak/soak-client.ts
@@ -0,0 +1,119 @@
+import {once} from 'node:events';
+import {Agent, request, type IncomingMessage} from 'node:http';
+import type {Socket} from 'node:net';
+import {setTimeout as waitMilliseconds} from 'node:timers/promises';
+import type {RandomSource} from '../load/random-source.js';
+import {buildBody} from './soak-endpoint.js';
+import type {SoakFleet} from './soak-fleet.js';
+import type {SoakHost} from './soak-host.js';
+import {SoakRequestKind, type SoakRequest} from './soak-ledger.js';
+
+/** Mean pause between two requests of a client, in milliseconds. */
+const pauseMilliseconds = 60;
+
+/** Share of the requests after which a client leaves early. */
+const leaveShare = 0.03;
+
+/** Share of the reads that go to routes which were added or dropped. */
+const probeShare = 0.3;
+
+/** Time for which a client waits, in milliseconds; it differs from the time-out of the routes in both directions. */
+const waits = [900, 2000, 4000];
+
+type ChosenRequest = {readonly kind: SoakRequestKind; readonly service: string; readonly prefix: string};
+
+/** Sends one request after the other on one connection, which it keeps until the host closes it or is gone. */
+export class SoakClient {
+	readonly #fleet: SoakFleet;
+	readonly #random: RandomSource;
+	readonly #name: string;
+	readonly #agent = new Agent({keepAlive: true, maxSockets: 1});
+	#host: SoakHost | undefined;
+	#socket: Socket | undefined;
+	#count = 0;
+
+	constructor({name, fleet, random}: {readonly name: string; readonly fleet: SoakFleet; readonly random: RandomSource}) {
+		this.#name = name;
+		this.#fleet = fleet;
+		this.#random = random;
+	}
+
+	/**
+	 * Sends requests until the signal.
+	 *
+	 * @param signal - Ends the sending; the last request is waited for.
+	 */
+	async run(signal: AbortSignal): Promise<void> {
+		while (!signal.aborted) {
+			const host = this.#chooseHost();
+			if (host) {
+				await this.#send(host, this.#chooseRequest());
+			}
+
+			await waitMilliseconds(this.#random.drawExponential(pauseMilliseconds));
+		}
+
+		this.#agent.destroy();
+	}
+
+	/** New connections go to hosts that are ready; an open one stays with its host. */
+	#chooseHost(): SoakHost | undefined {
+		if (this.#host && this.#socket && !this.#socket.destroyed) {
+			return this.#host;
+		}
+
+		const ready = this.#fleet.hosts.filter(({isReady}) => isReady);
+		this.#host = ready[this.#random.drawIndex(ready.length)];
+		this.#socket = undefined;
+		return this.#host;
+	}
+
+	#chooseRequest(): ChosenRequest {
+		const kind = [SoakRequestKind.read, SoakRequestKind.read, SoakRequestKind.payment, SoakRequestKind.payment, SoakRequestKind.download][this.#random.drawIndex(5)]!;
+		const service = `${kind}s`;
+		const prefixes = this.#fleet.ledger.routeChanges.map(({prefix}) => prefix);
+		const isProbe = kind === SoakRequestKind.read && prefixes.length > 0 && this.#random.draw() < probeShare;
+		return {kind, service, prefix: isProbe ? prefixes[this.#random.drawIndex(prefixes.length)]! : `/${service}/`};
+	}
+
+	async #send(host: SoakHost, {kind, service, prefix}: ChosenRequest): Promise<void> {
+		this.#count += 1;
+		const id = `${this.#name}-${this.#count}`;
+		const sent: SoakRequest = {
+			id, kind, service, target: `${prefix}${id}`, prefix, host: host.id, incarnation: host.incarnation, sentAt: performance.now(),
+			waitMilliseconds: waits[this.#random.drawIndex(waits.length)]!,
+		};
+		this.#fleet.ledger.requests.set(id, sent);
+		try {
+			await this.#receive(sent, host.address);
+		} catch (error) {
+			sent.error = (error as NodeJS.ErrnoException).code ?? (error as Error).name;
+		}
+
+		sent.endedAt = performance.now();
+	}
+
+	async #receive(sent: SoakRequest, address: string): Promise<void> {
+		const [hostname, port] = address.split(':');
+		const isLeaving = this.#random.draw() < leaveShare;
+		const waits = isLeaving ? sent.waitMilliseconds * this.#random.draw() * 0.1 : sent.waitMilliseconds + 500;
+		sent.hasLeft = isLeaving;
+		const req = request({
+			hostname, port, path: sent.target, method: sent.kind === SoakRequestKind.payment ? 'POST' : 'GET', agent: this.#agent,
+			headers: {host: 'site.example', 'x-attempt-id': sent.id, 'x-deadline-ms': String(sent.waitMilliseconds)},
+			signal: AbortSignal.timeout(Math.ceil(waits)),
+		});
+		req.once('socket', socket => {
+			this.#socket = socket;
+		});
+		req.end(sent.kind === SoakRequestKind.payment ? `amount of ${sent.id}` : undefined);
+		const [res] = await once(req, 'response') as [IncomingMessage];
+		const chunks: Uint8Array[] = [];
+		for await (const chunk of res as AsyncIterable<Uint8Array>) {
+			chunks.push(chunk);
+		}
+
+		sent.isWhole = Buffer.concat(chunks).toString() === buildBody(sent);
+		sent.status = res.statusCode ?? 0;
+	}
+}
--- /dev/null
+++ b/packages/bench/src/soak/soak-command.ts
@@ -0,0 +1,64 @@
+import fs from 'node:fs';
+import process from 'node:process';
+import type {CAC} from 'cac';
+import {defaultSoakOptions, runSoak} from './run-soak.js';
+
+type SoakCommandOptions = {
+	readonly seed: number;
+	readonly seeds: number;
+	readonly duration: number;
+	readonly hosts: number;
+	readonly clients: number;
+	readonly json?: string;
+};
+
+/**
+ * Registers `bench soak`.
+ *
+ * @param program - The command line.
+ */
+export function registerSoak(program: CAC): void {
+	program
+		.command('soak', 'Run edge hosts as processes under faults drawn from the seed, and check the promises meanwhile')
+		.option('--seed <number>', 'First seed', {default: defaultSoakOptions.seed})
+		.option('--seeds <number>', 'Number of seeds, one after the other', {default: 1})
+		.option('--duration <seconds>', 'Time in which faults begin', {default: defaultSoakOptions.seconds})
+		.option('--hosts <number>', 'Number of hosts', {default: defaultSoakOptions.hosts})
+		.option('--clients <number>', 'Number of clients', {default: defaultSoakOptions.clients})
+		.option('--json <file>', 'Write counts and findings of all seeds')
+		.action(handleSoak);
+}
+
+async function handleSoak({seed: first, seeds, duration: seconds, hosts, clients, json}: SoakCommandOptions): Promise<void> {
+	const reports = [];
+	for (let seed = first; seed < first + seeds; seed++) {
+		const {breaches, directory, ...counts} = await runSoak({
+			seed,
+			seconds,
+			hosts,
+			clients,
+			onProgress(text) {
+				process.stderr.write(`soak ${seed}: ${text}\n`);
+			},
+		});
+		reports.push({seed, ...counts, breaches});
+		console.log(JSON.stringify({seed, ...counts, breaches: breaches.length}));
+		if (breaches.length === 0) {
+			fs.rmSync(directory, {recursive: true, force: true});
+			continue;
+		}
+
+		for (const {promise, subject, detail} of breaches) {
+			console.log(`${promise}: ${subject}: ${detail}`);
+		}
+
+		console.log(`logs: ${directory}; run again: npm run bench -- soak --seed ${seed} --duration ${seconds} --hosts ${hosts} --clients ${clients}`);
+		process.exitCode = 1;
+	}
+
+	if (json !== undefined) {
+		fs.writeFileSync(json, `${JSON.stringify({
+			seconds, hosts, clients, reports,
+		}, undefined, '\t')}\n`);
+	}
+}
--- /dev/null
+++ b/packages/bench/src/soak/soak-faults.ts
@@ -0,0 +1,260 @@
+import {setTimeout as wait} from 'node:timers/promises';
+import {RelayCut, RelayDirection, RowStoreFault} from '@tanagerrail/stand-ins';
+import {soakBounds} from './soak-bounds.js';
+import {SoakEnding, type SoakEndpoint} from './soak-endpoint.js';
+import {soakServices, type SoakFleet, type SoakService} from './soak-fleet.js';
+import type {SoakHost} from './soak-host.js';
+
+/** A fault of a plan; times are milliseconds since the start of the load. */
+export type SoakFault = {
+	readonly kind: string;
+	readonly from: number;
+	readonly milliseconds: number;
+	/** Numbers from 0 to below 1 that choose the target and the variant. */
+	readonly target: number;
+	readonly variant: number;
+};
+
+/** Causes a fault and ends it; it returns when the fault is over. */
+export type RunSoakFault = (fleet: SoakFleet, fault: SoakFault) => Promise<void>;
+
+/** Time for which a leaving endpoint serves beyond the time in which hosts must notice, in milliseconds. */
+const leavingMilliseconds = 1500;
+
+/** Time after which an address may be used by another service, in milliseconds. */
+const addressReuseMilliseconds = 2300;
+
+/** Pause between two steps of a series, in milliseconds. */
+const seriesMilliseconds = 700;
+
+const hostsInTurn = 3;
+
+function pick<T>(items: readonly T[], number: number): T {
+	return items[Math.floor(number * items.length)]!;
+}
+
+async function runDisturbed(host: SoakHost, act: () => Promise<void>): Promise<void> {
+	const end = host.faults.start();
+	await act();
+	end();
+}
+
+async function stopHost(host: SoakHost): Promise<void> {
+	const end = host.stops.start();
+	await host.stopGracefully();
+	host.restart();
+	end();
+}
+
+function createHostFault(act: (host: SoakHost, fault: SoakFault) => Promise<void>): RunSoakFault {
+	return async (fleet, fault) => {
+		const host = pick(fleet.hosts, fault.target);
+		await runDisturbed(host, async () => act(host, fault));
+	};
+}
+
+async function killHosts(hosts: readonly SoakHost[], milliseconds: number): Promise<void> {
+	await Promise.all(hosts.map(async host => runDisturbed(host, async () => {
+		await host.kill();
+		await wait(milliseconds);
+		host.restart();
+	})));
+}
+
+function createStoreFault(storeFault: RowStoreFault): RunSoakFault {
+	return async (fleet, {milliseconds}) => {
+		const end = fleet.storeFaults.start();
+		fleet.store.fault = storeFault;
+		await wait(milliseconds);
+		fleet.store.fault = undefined;
+		end();
+	};
+}
+
+/** Changes an endpoint for a while; the promises about its requests know the ending of each arrival. */
+function createEndpointFault(begin: (endpoint: SoakEndpoint, fault: SoakFault) => void, end: (endpoint: SoakEndpoint) => void | Promise<void>): RunSoakFault {
+	return async (fleet, fault) => {
+		const endpoint = pick(fleet.endpoints, fault.target);
+		begin(endpoint, fault);
+		await wait(fault.milliseconds);
+		await end(endpoint);
+	};
+}
+
+/** A connection that a fault breaks may carry a request of any host. */
+function createNetworkFault(begin: (endpoint: SoakEndpoint, fault: SoakFault) => void, end: (endpoint: SoakEndpoint) => void | Promise<void>): RunSoakFault {
+	const run = createEndpointFault(begin, end);
+	return async (fleet, fault) => {
+		const ends = fleet.hosts.map(host => host.faults.start());
+		await run(fleet, fault);
+		for (const endDisturbance of ends) {
+			endDisturbance();
+		}
+	};
+}
+
+const endings = [SoakEnding.fail, SoakEnding.reset, SoakEnding.cut, SoakEnding.twice, SoakEnding.hang, SoakEnding.unsealed];
+const directions = [RelayDirection.both, RelayDirection.forward, RelayDirection.back];
+
+/** All faults by name. */
+export const soakFaults: Readonly<Record<string, RunSoakFault>> = {
+	'host-killed': createHostFault(async (host, {milliseconds}) => {
+		await host.kill();
+		await wait(milliseconds);
+		host.restart();
+	}),
+	async 'hosts-killed'({hosts}, {milliseconds, variant}) {
+		await killHosts(variant < 0.3 ? hosts : hosts.filter((_, index) => index % 2 === 0), milliseconds);
+	},
+	async 'host-stopped'({hosts}, {target}) {
+		await stopHost(pick(hosts, target));
+	},
+	async 'hosts-stopped-in-turn'({hosts}, {target}) {
+		const first = Math.floor(target * hosts.length);
+		await Promise.all(Array.from({length: hostsInTurn}, async (_, index) => {
+			await wait(index * seriesMilliseconds);
+			await stopHost(hosts[(first + index) % hosts.length]!);
+		}));
+	},
+	async 'host-killed-while-it-stops'({hosts}, {target, variant}) {
+		const host = pick(hosts, target);
+		await runDisturbed(host, async () => {
+			const stopped = stopHost(host);
+			await wait(variant * 1000);
+			await host.kill();
+			await stopped;
+		});
+	},
+	'host-frozen': createHostFault(async (host, {milliseconds}) => {
+		host.process.freeze();
+		await wait(milliseconds);
+		host.process.resume();
+	}),
+	/** A valid change, an invalid file that must leave the settings in force, and with or without a signal. */
+	async 'settings-changed'({hosts}, {target, variant, milliseconds}) {
+		const host = pick(hosts, target);
+		host.writeSettings(variant < 0.5 ? 'bounds: [' : undefined, 400);
+		if (variant < 0.25 || variant > 0.75) {
+			host.process.requestReload();
+		}
+
+		await wait(milliseconds);
+		host.writeSettings();
+		host.process.requestReload();
+	},
+	'host-cut-from-store': createHostFault(async (host, {milliseconds, variant}) => {
+		host.storeRelay.disconnect(variant < 0.25 ? RelayCut.reset : RelayCut.silent, pick(directions, variant));
+		await wait(milliseconds);
+		await host.storeRelay.restore();
+	}),
+	async 'store-connections-silent'({hosts}, {milliseconds}) {
+		const ends = hosts.map(host => host.faults.start());
+		for (const host of hosts) {
+			host.storeRelay.disconnectOpen();
+		}
+
+		await wait(milliseconds);
+		for (const end of ends) {
+			end();
+		}
+	},
+	async 'store-delayed'({hosts, storeFaults}, {milliseconds, variant}) {
+		const end = storeFaults.start();
+		for (const {storeRelay} of hosts) {
+			storeRelay.setDelay(50 + (variant * 400));
+		}
+
+		await wait(milliseconds);
+		for (const {storeRelay} of hosts) {
+			storeRelay.setDelay(0);
+		}
+
+		end();
+	},
+	'store-busy': createStoreFault(RowStoreFault.busy),
+	'store-silent': createStoreFault(RowStoreFault.silent),
+	'store-resets': createStoreFault(RowStoreFault.reset),
+	'store-throttles': createStoreFault(RowStoreFault.throttled),
+	async 'store-forgets'({store, storeFaults}) {
+		const end = storeFaults.start();
+		store.dropHistory();
+		store.dropConnections();
+		end();
+	},
+	'endpoint-slow': createEndpointFault((endpoint, {variant}) => {
+		endpoint.slowness = 4 + (variant * 20);
+	}, endpoint => {
+		endpoint.slowness = 1;
+	}),
+	'endpoint-faulty': createEndpointFault((endpoint, {variant}) => {
+		endpoint.ending = pick(endings, variant);
+		endpoint.faultShare = 0.4;
+	}, endpoint => {
+		endpoint.faultShare = 0;
+	}),
+	'endpoint-says-ill': createEndpointFault(({standIn}) => {
+		standIn.isHealthy = false;
+	}, ({standIn}) => {
+		standIn.isHealthy = true;
+	}),
+	'endpoint-delayed': createEndpointFault(({relay}, {variant}) => {
+		relay?.setDelay(5 + (variant * 60));
+	}, ({relay}) => {
+		relay?.setDelay(0);
+	}),
+	'endpoint-connections-silent': createNetworkFault(({relay}) => {
+		relay?.disconnectOpen();
+	}, () => undefined),
+	'endpoint-cut': createNetworkFault(({relay}, {variant}) => {
+		relay?.disconnect(variant < 0.3 ? RelayCut.reset : RelayCut.silent, pick(directions, variant));
+	}, async ({relay}) => relay?.restore()),
+	async 'endpoint-leaves'(fleet, {target, variant}) {
+		const endpoint = pickStaying(fleet, target);
+		await fleet.addEndpoint(endpoint.service);
+		fleet.announceDeparture(endpoint, variant < 0.6);
+		await wait(soakBounds.drainMilliseconds + leavingMilliseconds);
+		await fleet.removeEndpoint(endpoint);
+	},
+	/** Another endpoint of another service starts at the address of one that has left. */
+	async 'address-reused'(fleet, {target}) {
+		const endpoint = pickStaying(fleet, target);
+		const names = Object.keys(soakServices) as SoakService[];
+		const next = names[(names.indexOf(endpoint.service as SoakService) + 1) % names.length]!;
+		await fleet.addEndpoint(endpoint.service);
+		fleet.announceDeparture(endpoint, false);
+		await wait(addressReuseMilliseconds);
+		endpoint.standIn.healthId = fleet.createEndpointId();
+		endpoint.service = next;
+		endpoint.state = 'ready';
+		endpoint.bornAt = Date.now();
+		fleet.register(endpoint);
+	},
+	async 'endpoint-vanishes'(fleet, {target, milliseconds}) {
+		const endpoint = pickStaying(fleet, target);
+		endpoint.state = 'draining';
+		const ends = fleet.hosts.map(host => host.faults.start());
+		await endpoint.stop();
+		await wait(milliseconds);
+		await fleet.removeEndpoint(endpoint);
+		await fleet.addEndpoint(endpoint.service);
+		for (const end of ends) {
+			end();
+		}
+	},
+	async 'routes-changed'(fleet, {variant}) {
+		for (let step = 0; step < 1 + Math.floor(variant * 4); step++) {
+			if (step % 2 === 0) {
+				fleet.addRoute();
+			} else {
+				fleet.dropRoute();
+			}
+
+			await wait(variant * 300);
+		}
+	},
+};
+
+/** An endpoint leaves once only. */
+function pickStaying({endpoints}: SoakFleet, number: number): SoakEndpoint {
+	return pick(endpoints.filter(({state}) => state === 'ready'), number);
+}
--- a/packages/bench/src/testbed/managed-process.ts
+++ b/packages/bench/src/testbed/managed-process.ts
@@ -10,6 +10,8 @@
 	readonly args: readonly string[];
 	/** File that receives standard error. */
 	readonly logFile: string;
+	/** Whether the file receives standard output too; {@link ManagedProcess.output} is empty then. */
+	readonly logsOutput?: boolean;
 };
 
 const running = new Set<ManagedProcess>();
@@ -22,12 +24,12 @@
 	readonly #child: ChildProcess;
 	readonly #exited: Promise<void>;
 
-	constructor({name, args, logFile}: ManagedProcessOptions) {
+	constructor({name, args, logFile, logsOutput = false}: ManagedProcessOptions) {
 		registerCleanup();
 		this.name = name;
 		this.logFile = logFile;
 		const log = fs.openSync(logFile, 'a');
-		this.#child = spawn(process.execPath, [...args], {stdio: ['pipe', 'pipe', log]});
+		this.#child = spawn(process.execPath, [...args], {stdio: ['pipe', logsOutput ? log : 'pipe', log]});
 		fs.closeSync(log);
 		running.add(this);
 		this.#exited = new Promise(resolve => {
@@ -71,6 +73,11 @@
 		this.#signal('SIGCONT');
 	}
 
+	/** Tells the process that its settings file has changed. */
+	requestReload(): void {
+		this.#signal('SIGHUP');
+	}
+
 	/** Asks the process to shut down gracefully. */
 	requestStop(): void {
 		this.#signal('SIGTERM');
--- a/packages/stand-ins/src/tcp-relay.ts
+++ b/packages/stand-ins/src/tcp-relay.ts
@@ -26,6 +26,7 @@
 	readonly #pairs = new Set<Pair>();
 	readonly #silenced = new Set<RelayDirection>();
 	#port = 0;
+	#delayMilliseconds = 0;
 	#isRefusing = false;
 	#isStopped = false;
 	#isChecking = false;
@@ -76,6 +77,15 @@
 		this.#silenced.add(direction);
 	}
 
+	/**
+	 * Delays all bytes from now on, in both directions.
+	 *
+	 * @param milliseconds - The delay; 0 ends it.
+	 */
+	setDelay(milliseconds: number): void {
+		this.#delayMilliseconds = milliseconds;
+	}
+
 	/** Silences the connections that are open now for good; new ones work. */
 	disconnectOpen(): void {
 		for (const {silenced} of this.#pairs) {
@@ -176,18 +186,23 @@
 
 	#forward(pair: Pair, direction: RelayDirection): void {
 		const [source, sink] = direction === RelayDirection.forward ? [pair.outer, pair.inner] : [pair.inner, pair.outer];
+		const deliver = this.#createDelivery();
 		source.on('data', (chunk: Uint8Array) => {
-			if (!this.#isSilenced(pair, direction) && !sink.destroyed && !sink.write(chunk)) {
-				source.pause();
-				sink.once('drain', () => {
-					source.resume();
-				});
-			}
+			deliver(() => {
+				if (!this.#isSilenced(pair, direction) && !sink.destroyed && !sink.write(chunk)) {
+					source.pause();
+					sink.once('drain', () => {
+						source.resume();
+					});
+				}
+			});
 		});
 		source.on('end', () => {
-			if (!this.#isSilenced(pair, direction)) {
-				sink.end();
-			}
+			deliver(() => {
+				if (!this.#isSilenced(pair, direction)) {
+					sink.end();
+				}
+			});
 		});
 		source.on('error', () => {
 			source.destroy();
@@ -198,10 +213,28 @@
 			}
 
 			this.#pairs.delete(pair);
-			sink.destroy();
+			deliver(() => {
+				sink.destroy();
+			});
 		});
 	}
 
+	/** Keeps the order of what is delivered while the delay changes. */
+	#createDelivery(): (action: () => void) => void {
+		let lastAt = 0;
+		return action => {
+			const now = performance.now();
+			const at = Math.max(now + this.#delayMilliseconds, lastAt);
+			if (at <= now) {
+				action();
+				return;
+			}
+
+			lastAt = at;
+			setTimeout(action, at - now);
+		};
+	}
+
 	#isSilenced({silenced}: Pair, direction: RelayDirection): boolean {
 		return [this.#silenced, silenced].some(set => set.has(direction) || set.has(RelayDirection.both));
 	}
