--- a/tools/build-edge.mjs
+++ b/tools/build-edge.mjs
@@ -42,9 +42,9 @@
 	logLevel: 'error',
 });
 
-/** A snapshot fits only processes with the same V8 options, so these stand in `run` of deploy/system.toml too. */
-const v8Options = ['--max-old-space-size=200'];
-execFileSync(process.execPath, [...v8Options, '--snapshot-blob', 'target/tanagerrail.blob', '--build-snapshot', 'target/tanagerrail.cjs'], {
+/** A snapshot fits only processes with the options that it was built with, so they are those of the deployment. */
+const [, options] = /^run = "node (.+) --snapshot-blob/m.exec(fs.readFileSync('deploy/system.toml', 'utf8'));
+execFileSync(process.execPath, [...options.split(' '), '--snapshot-blob', 'target/tanagerrail.blob', '--build-snapshot', 'target/tanagerrail.cjs'], {
 	// Node.js warns of modules that it has not verified in snapshots; hosts that start from this one are tested.
 	stdio: ['ignore', 'inherit', 'ignore'],
 });
