fix(routing): take a distant endpoint at once when no nearer one exists

Cause: a request waits for a better endpoint while the best one is rated worse than it accepts, and the distance to another failure domain counts in that. In a domain without endpoints of a service all are distant, and no wait mends that: large responses waited up to 0.6 of their objective, and were refused with 503 code 2002 where the usual duration was long.

Change: only the part of the distance that a nearer endpoint would save counts.

--- a/packages/routing/src/endpoint-selector.ts
+++ b/packages/routing/src/endpoint-selector.ts
@@ -345,9 +345,12 @@
 		};
 	}
 
-	/** Rating that decides whether to wait; a wait mends neither failures nor a usual distance. */
-	#computeWaitRating(endpoint: DirectoryEndpoint, request: SelectionRequest): number {
-		return this.#computePace(endpoint) + Math.max(0, this.#getDistance(endpoint, request) - usualDistance);
+	/** Rating that decides whether to wait; a wait mends neither failures nor a distance that all endpoints have. */
+	#computeWaitRating(endpoint: DirectoryEndpoint, {request, endpoints}: ProbedEndpoints<C>): number {
+		const now = this.#options.clock();
+		const usable = endpoints.filter(other => !this.getRecord(other).isAvoided(now));
+		const nearest = Math.min(...usable.map(other => this.#getDistance(other, request)));
+		return this.#computePace(endpoint) + Math.max(0, this.#getDistance(endpoint, request) - Math.max(usualDistance, nearest));
 	}
 
 	#conclude(candidates: Array<Candidate<C>>, found: ProbedEndpoints<C>): Selection<C> | SelectionRefusal {
@@ -361,7 +364,7 @@
 			}
 		}
 
-		if (chosen && this.#computeWaitRating(chosen.endpoint, request) <= (request.worstRating ?? Infinity)) {
+		if (chosen && this.#computeWaitRating(chosen.endpoint, found) <= (request.worstRating ?? Infinity)) {
 			const {endpoint, record, connection, rating} = chosen;
 			return {
 				endpoint, record, connection,
--- a/packages/routing/tests/endpoint-selector.test.ts
+++ b/packages/routing/tests/endpoint-selector.test.ts
@@ -163,3 +163,9 @@
 	}, 3000);
 	t.match(await select(), {kind: 'full'});
 });
+
+test('guards against a wait for near endpoints in a failure domain that has none', async t => {
+	const request = {responseBytes: 90_000, worstRating: 1.4};
+	t.match(await createSelector({far: {domain: 'b'}}).select(request), {endpoint: {id: 'far'}});
+	t.match(await createSelector({near: {running: 6}, far: {domain: 'b'}}).select(request), {kind: 'slow'}, 'a near endpoint may become free');
+});
