--- a/packages/bench/src/soak/run-soak.ts
+++ b/packages/bench/src/soak/run-soak.ts
@@ -1,3 +1,4 @@
+import {monitorEventLoopDelay} from 'node:perf_hooks';
 import {setTimeout as wait} from 'node:timers/promises';
 import {RandomSource} from '../load/random-source.js';
 import {checkPromises, checkRecovery, type SoakBreach} from './check-promises.js';
@@ -33,6 +34,8 @@
 	readonly requests: number;
 	/** Requests by status or error. */
 	readonly ends: Readonly<Record<string, number>>;
+	/** Delay of timers in the process of clients, endpoints and store at p99, in milliseconds; it tells how busy the machine was. */
+	readonly lateness: number;
 	/** Directory with the logs of the hosts; it is the caller's to remove. */
 	readonly directory: string;
 };
@@ -68,6 +71,8 @@
 	};
 
 	const ended = new AbortController();
+	const delays = monitorEventLoopDelay();
+	delays.enable();
 	try {
 		await fleet.start();
 		const load = Promise.all(Array.from({length: clients}, async (_, index) => new SoakClient({
@@ -93,7 +98,12 @@
 	}
 
 	return {
-		breaches: [...breaches.values()], faults: plan.length, requests: fleet.ledger.requests.size, ends: countEnds(fleet), directory: fleet.directory,
+		breaches: [...breaches.values()],
+		faults: plan.length,
+		requests: fleet.ledger.requests.size,
+		ends: countEnds(fleet),
+		lateness: Math.round(delays.percentile(99) / 1_000_000),
+		directory: fleet.directory,
 	};
 }
 
