fix(cli): do not end by a signal to reload that arrives while the host starts

Cause: the handler of SIGHUP was installed after the settings had been read and the host had been made; until then the default action of the signal ended the process.

Ruled out: the faults of the soak itself (no other signal was sent to the process; its log ends before host-started).

Change: the signal is ignored from the first line of the command on, and the settings are read after that. Node.js itself still ends on the signal until its first script runs, so the soak sends it only to hosts that are ready.

Before: the test (a program that waits at a pipe for its settings) ended by SIGHUP. After: it goes on.

--- a/packages/bench/src/soak/soak-faults.ts
+++ b/packages/bench/src/soak/soak-faults.ts
@@ -135,12 +135,12 @@
 		const host = pick(hosts, target);
 		host.writeSettings(variant < 0.5 ? 'bounds: [' : undefined, 400);
 		if (variant < 0.25 || variant > 0.75) {
-			host.process.requestReload();
+			host.requestReload();
 		}
 
 		await wait(milliseconds);
 		host.writeSettings();
-		host.process.requestReload();
+		host.requestReload();
 	},
 	'host-cut-from-store': createHostFault(async (host, {milliseconds, variant}) => {
 		host.storeRelay.disconnect(variant < 0.25 ? RelayCut.reset : RelayCut.silent, pick(directions, variant));
--- a/packages/bench/src/soak/soak-host.ts
+++ b/packages/bench/src/soak/soak-host.ts
@@ -115,6 +115,13 @@
 		await this.process.waitExit();
 	}
 
+	/** Tells the process that its settings file has changed. Node.js itself ends on that signal until its first script runs. */
+	requestReload(): void {
+		if (this.isReady) {
+			this.process.requestReload();
+		}
+	}
+
 	/** Asks the process to stop, and waits for its end, which is forced when the time for it is over. */
 	async stopGracefully(): Promise<void> {
 		this.#expectsExit = true;
--- a/packages/cli/src/commands/edge.ts
+++ b/packages/cli/src/commands/edge.ts
@@ -40,6 +40,9 @@
  * @returns Nothing once the host listens, or the mistakes of the settings.
  */
 async function runEdge(file: string): Promise<readonly Failure[]> {
+	// Until the settings are watched, the default action of this signal would end the process; they are read only after it.
+	const ignoreReload = () => undefined;
+	process.on('SIGHUP', ignoreReload);
 	const loaded = loadEdgeSettings(file);
 	if (loaded.isErr()) {
 		return loaded.error;
@@ -57,6 +60,7 @@
 	}));
 	const host = new EdgeHost(loaded.value);
 	watchSettings(file, host);
+	process.off('SIGHUP', ignoreReload);
 	process.once('SIGTERM', async () => {
 		await host.stop();
 		// Everything that was read has been answered; connections that are still open end with the process.
--- a/packages/cli/tests/edge-program.test.ts
+++ b/packages/cli/tests/edge-program.test.ts
@@ -4,6 +4,7 @@
 import os from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
+import {setTimeout as wait} from 'node:timers/promises';
 import {promisify} from 'node:util';
 import {test} from 'tap';
 import {chooseLoopbackHost, StandInRoutedEndpoint, StandInRowStore} from '@tanagerrail/stand-ins';
@@ -53,6 +54,26 @@
 	t.equal(code, 0);
 });
 
+test('guards against an end by a signal to reload that arrives before the settings have been read', async t => {
+	const directory = fs.mkdtempSync(path.join(os.tmpdir(), 'tanagerrail-edge-'));
+	const settings = path.join(directory, 'settings.yaml');
+	// The program waits at a pipe for its settings.
+	await promisify(execFile)('mkfifo', [settings]);
+	// What tap loads into child processes would catch the signal.
+	const command = ['-u', 'NODE_OPTIONS', process.execPath, path.resolve(import.meta.dirname, '../src/edge-main.js'), 'edge', '--settings', settings];
+	const child = spawn('env', command, {stdio: 'ignore'});
+	t.teardown(() => {
+		child.kill('SIGKILL');
+		fs.rmSync(directory, {recursive: true, force: true});
+	});
+	// Resolves when the program has opened the other end.
+	const pipe = await fs.promises.open(settings, 'w');
+	child.kill('SIGHUP');
+	await wait(500);
+	t.equal(child.signalCode, null);
+	await pipe.close();
+});
+
 /** Reads how the deployment starts the program. */
 function readArguments(settings: string): string[] {
 	const deployment = fs.readFileSync(path.join(root, 'deploy/system.toml'), 'utf8');
