test(bench): the soak looks for served reads while its own timers are on time

Cause: endpoints, clients and store of the soak share one process.

Change: the load goes on, up to five times 2 s, while reads fail and the own timers were more than 100 ms late; the promise itself stays.

--- a/packages/bench/src/soak/run-soak.ts
+++ b/packages/bench/src/soak/run-soak.ts
@@ -49,6 +49,14 @@
 /** Load after that time, in milliseconds. */
 const calmMilliseconds = 2000;
 
+/**
+ * Delay of this process's own timers above which endpoints and clients are too late themselves to tell whether requests are
+ * served, in milliseconds. The load then goes on for as long again, up to {@link calmPeriods} times.
+ */
+const longestDelay = 100;
+
+const calmPeriods = 5;
+
 /**
  * Runs clients against hosts while faults come and go, and checks the promises meanwhile.
  *
@@ -87,8 +95,7 @@
 			await soakFaults[fault.kind]!(fleet, fault);
 		}));
 		await wait(recoveryMilliseconds);
-		const calmSince = performance.now();
-		await wait(calmMilliseconds);
+		const calmSince = await waitServed(fleet);
 		ended.abort();
 		await load;
 		clearInterval(checker);
@@ -107,6 +114,24 @@
 	};
 }
 
+/** Waits until reads have been served for a while, or are not although this process is on time. */
+async function waitServed(fleet: SoakFleet): Promise<number> {
+	const delays = monitorEventLoopDelay();
+	delays.enable();
+	let since = performance.now();
+	for (let period = 0; period < calmPeriods; period++) {
+		since = performance.now();
+		delays.reset();
+		await wait(calmMilliseconds);
+		if (checkRecovery(fleet, since).length === 0 || delays.max < longestDelay * 1_000_000) {
+			break;
+		}
+	}
+
+	delays.disable();
+	return since;
+}
+
 function countEnds({ledger}: SoakFleet): Record<string, number> {
 	const counts: Record<string, number> = {};
 	for (const {kind, status, error} of ledger.requests.values()) {
