--- a/packages/bench/tests/soak/without-mechanism.test.ts
+++ b/packages/bench/tests/soak/without-mechanism.test.ts
@@ -36,8 +36,9 @@
 		variant: 'edge-without-graceful-stop',
 		promise: 'run-is-answered',
 		plan: [
-			...[0, 1, 2, 3, 4, 5, 6, 7].map(index => createFault('endpoint-slow', {target: chooseEndpoint(index), variant: 0.5})),
-			...[0, 0.2, 0.4, 0.6].map((target, index) => createFault('host-stopped', {from: 800 + (400 * index), target})),
+			// Many hosts stop while many requests run, since the first ones of a run may not have reached an endpoint yet.
+			...[0, 1, 2, 3, 4, 5, 6, 7].map(index => createFault('endpoint-slow', {target: chooseEndpoint(index), variant: 0.5, milliseconds: 7000})),
+			...Array.from({length: 10}, (_, index) => createFault('host-stopped', {from: 2000 + (500 * index), target: ((index % 6) + 0.5) / 6})),
 		],
 	},
 ];
