test(http): endpoints of the tests listen on a loopback address of their own

By reading, requests of other test processes came to ports of 127.0.0.1 that had been free for a moment (stand-ins stop and come back in several tests).

Change: StandInEndpoint keeps its IP address, and the fixtures of serve-keyed and serve-idempotent choose one.

--- a/packages/http/tests/serve-idempotent.test.ts
+++ b/packages/http/tests/serve-idempotent.test.ts
@@ -6,7 +6,7 @@
 import {createFailure} from '@tanagerrail/results';
 import type {SlotRelease, SlotSource} from '@tanagerrail/routing';
 import {
-	bodyDurationHeader, durationHeader, lengthHeader, StandInEndpoint, type EndpointFaults,
+	bodyDurationHeader, chooseLoopbackHost, durationHeader, lengthHeader, StandInEndpoint, type EndpointFaults,
 } from '@tanagerrail/stand-ins';
 import {createMetrics, readMonotonicClock as clock} from '@tanagerrail/telemetry';
 import {AttemptPolicies} from '../src/attempt-policies.js';
@@ -55,7 +55,9 @@
 	}
 
 	async start(): Promise<this> {
-		const ports = await Promise.all(this.endpoints.map(async endpoint => endpoint.start()));
+		// An address of its own keeps requests of other test processes away from these endpoints.
+		const host = chooseLoopbackHost();
+		const ports = await Promise.all(this.endpoints.map(async endpoint => endpoint.start(0, host)));
 		const slots: SlotSource = {
 			acquire: ({excluded, service}) => {
 				const index = ports.findIndex((_, i) => !excluded.includes(String(i)));
@@ -64,7 +66,7 @@
 				return index === -1
 					? errAsync(createFailure('no-endpoint', {service}))
 					: okAsync({
-						endpointId, address: `127.0.0.1:${ports[index]}`, isUsable: () => true, release: release => {
+						endpointId, address: `${host}:${ports[index]}`, isUsable: () => true, release: release => {
 							this.releases.push({endpointId, release});
 						},
 					});
--- a/packages/http/tests/serve-keyed.test.ts
+++ b/packages/http/tests/serve-keyed.test.ts
@@ -8,7 +8,7 @@
 import {createFailure} from '@tanagerrail/results';
 import {RetryBudget, type SlotSource} from '@tanagerrail/routing';
 import {
-	durationHeader, lengthHeader, StandInEndpoint, StandInObjectStore, StandInTable, type EndpointFaults,
+	chooseLoopbackHost, durationHeader, lengthHeader, StandInEndpoint, StandInObjectStore, StandInTable, type EndpointFaults,
 } from '@tanagerrail/stand-ins';
 import {createMetrics, listViolations, readMonotonicClock as clock} from '@tanagerrail/telemetry';
 import {createServiceListener} from '../src/create-service-listener.js';
@@ -35,6 +35,8 @@
 	readonly table = new StandInTable();
 	readonly objects = new StandInObjectStore();
 	readonly endpoints = [new StandInEndpoint(), new StandInEndpoint()];
+	/** Other test processes must not get requests for an endpoint that has stopped, or send theirs to one of these. */
+	readonly endpointHost = chooseLoopbackHost();
 	readonly hosts: string[] = [];
 	ports: number[] = [];
 	/** Refusals of the next slots. */
@@ -47,7 +49,7 @@
 
 	async start(): Promise<this> {
 		const [{url}, {url: objectsUrl}] = await Promise.all([this.table.start(), this.objects.start()]);
-		const ports = await Promise.all(this.endpoints.map(async endpoint => endpoint.start()));
+		const ports = await Promise.all(this.endpoints.map(async endpoint => endpoint.start(0, this.endpointHost)));
 		this.ports = ports;
 		const slots: SlotSource = {
 			acquire: ({excluded}) => {
@@ -56,7 +58,7 @@
 				return this.refusals >= 0 || index === -1
 					? errAsync(createFailure('queue-full'))
 					: okAsync({
-						endpointId: String(index), address: `127.0.0.1:${ports[index]}`, isUsable: () => true, release: () => undefined,
+						endpointId: String(index), address: `${this.endpointHost}:${ports[index]}`, isUsable: () => true, release: () => undefined,
 					});
 			},
 		};
@@ -157,7 +159,7 @@
 	});
 	const [endpoint, other] = fixture.endpoints as [StandInEndpoint, StandInEndpoint];
 	endpoint.update({slots: 1, shedAbove: 0});
-	const occupying = request(`http://127.0.0.1:${fixture.ports[0]}`, {headers: {[durationHeader]: '400'}});
+	const occupying = request(`http://${fixture.endpointHost}:${fixture.ports[0]}`, {headers: {[durationHeader]: '400'}});
 	while (endpoint.started === 0) {
 		await wait(5);
 	}
--- a/packages/stand-ins/src/stand-in-endpoint.ts
+++ b/packages/stand-ins/src/stand-in-endpoint.ts
@@ -60,6 +60,7 @@
 	#server: Server;
 	#behaviour: EndpointBehaviour;
 	#slownessTimer: NodeJS.Timeout | undefined;
+	#host = '127.0.0.1';
 	#port = 0;
 	#listeningSince = 0;
 	#isStopped = false;
@@ -85,11 +86,14 @@
 	 * Starts to listen.
 	 *
 	 * @param port - Port; 0 picks a free one.
+	 * @param host - IP address, kept for a start after a crash; one of its own keeps other processes off a port that is free
+	 * while the endpoint is down.
 	 * @returns The port.
 	 */
-	async start(port = 0): Promise<number> {
+	async start(port = 0, host = this.#host): Promise<number> {
+		this.#host = host;
 		await new Promise<void>(resolve => {
-			this.#server.listen(port, '127.0.0.1', resolve);
+			this.#server.listen(port, host, resolve);
 		});
 		const address = this.#server.address();
 		this.#port = typeof address === 'object' && address ? address.port : port;
