test(bench): endpoints and relays of the soak have a loopback address of their own

No host sends such a request; it came from another test process to a port of 127.0.0.1 that had been free for a moment.

Ruled out: a request of a client, since all have ids and all of them were accounted for.

Change: endpoints, their relays and the relays to the store listen on an address of 127.0.0.0/8 of their own.

--- a/packages/bench/src/soak/soak-endpoint.ts
+++ b/packages/bench/src/soak/soak-endpoint.ts
@@ -1,6 +1,8 @@
 import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
-import {StandInRoutedEndpoint, TcpRelay, type RoutedEndpointRun} from '@tanagerrail/stand-ins';
+import {
+	chooseLoopbackHost, StandInRoutedEndpoint, TcpRelay, type RoutedEndpointRun,
+} from '@tanagerrail/stand-ins';
 import type {SoakLedger} from './soak-ledger.js';
 
 /** Usual duration of the work, in milliseconds. */
@@ -100,9 +102,11 @@
 
 	/** Starts to listen. */
 	async start(): Promise<void> {
-		await this.standIn.start();
+		// On a shared address, requests of other test processes reach ports that have just become free.
+		const host = chooseLoopbackHost();
+		await this.standIn.start(host);
 		this.relay = new TcpRelay(this.standIn.address);
-		this.address = await this.relay.start();
+		this.address = await this.relay.start(0, host);
 	}
 
 	/** Stops at once. */
--- a/packages/bench/src/soak/soak-host.ts
+++ b/packages/bench/src/soak/soak-host.ts
@@ -85,7 +85,7 @@
 	 */
 	async start(seeds: readonly string[]): Promise<void> {
 		this.#seeds = seeds;
-		this.#storeAddress = await this.storeRelay.start();
+		this.#storeAddress = await this.storeRelay.start(0, this.#loopback);
 		this.restart();
 		void this.#watchReadiness();
 	}
--- a/packages/stand-ins/src/stand-in-routed-endpoint.ts
+++ b/packages/stand-ins/src/stand-in-routed-endpoint.ts
@@ -141,10 +141,14 @@
 		return `${address}:${port}`;
 	}
 
-	/** Starts to listen on a free port. */
-	async start(): Promise<void> {
+	/**
+	 * Starts to listen on a free port.
+	 *
+	 * @param host - IP address.
+	 */
+	async start(host = '127.0.0.1'): Promise<void> {
 		await new Promise<void>(resolve => {
-			this.#server.listen(0, '127.0.0.1', resolve);
+			this.#server.listen(0, host, resolve);
 		});
 	}
 
--- a/packages/stand-ins/src/tcp-relay.ts
+++ b/packages/stand-ins/src/tcp-relay.ts
@@ -25,6 +25,7 @@
 	readonly #target: {readonly host: string; readonly port: number};
 	readonly #pairs = new Set<Pair>();
 	readonly #silenced = new Set<RelayDirection>();
+	#host = '127.0.0.1';
 	#port = 0;
 	#delayMilliseconds = 0;
 	#isRefusing = false;
@@ -51,13 +52,15 @@
 	 * Starts to listen.
 	 *
 	 * @param port - Port; 0 picks a free one.
+	 * @param host - IP address.
 	 * @returns `ip:port` of the relay.
 	 */
-	async start(port = 0): Promise<string> {
+	async start(port = 0, host = this.#host): Promise<string> {
+		this.#host = host;
 		await this.#listen(port);
 		const address = this.#server.address();
 		this.#port = typeof address === 'object' && address ? address.port : port;
-		return `127.0.0.1:${this.#port}`;
+		return `${host}:${this.#port}`;
 	}
 
 	/**
@@ -130,7 +133,7 @@
 
 		await new Promise<void>((resolve, reject) => {
 			this.#server.once('error', reject);
-			this.#server.listen(port, '127.0.0.1', () => {
+			this.#server.listen(port, this.#host, () => {
 				this.#server.off('error', reject);
 				resolve();
 			});
