--- a/packages/cli/tests/edge-host.test.ts
+++ b/packages/cli/tests/edge-host.test.ts
@@ -235,6 +235,26 @@
 	t.equal([...answers.join('').matchAll(/ran \/reads/gv)].length, 2, 'a request that was passed on is answered');
 });
 
+test('guards against a ready response that is lost behind a slow one at the end of a shutdown', async t => {
+	const {host, endpoints, settings} = await startEdge(t, {routes: [{timeout_ms: 9000, target_latency_ms: 9000}]});
+	for (const endpoint of endpoints.reads!) {
+		endpoint.behaviour = (run, res, socket) => {
+			createSlowBehaviour(run.target.endsWith('slow') ? 8000 : 1)(run, res, socket);
+		};
+	}
+
+	const kept = openSocket(settings.listen.callers);
+	const answers: string[] = [];
+	kept.on('data', chunk => {
+		answers.push(String(chunk));
+	});
+	kept.write(buildHead('/reads/slow', 'slow-1') + buildHead('/reads/ready', 'ready-1'));
+	await waitFor(() => endpoints.reads!.flatMap(({runs}) => runs).length >= 2);
+	await host.stop();
+	await wait(50);
+	t.match(answers.join(''), /ran \/reads\/ready/v);
+});
+
 test('a shutdown waits for a response that is not flushed and for the one behind it', async t => {
 	const {host, endpoints, settings, send} = await startEdge(t, {routes: [{timeout_ms: 6000, target_latency_ms: 6000}]});
 	const large = 8_000_000;
