refactor(stand-ins): each stand-in has a loopback address of its own

Ruled out: a host passed in everywhere, since nobody needs to know it: these stand-ins tell their whole address.

Change: platform servers, row store, routed endpoints and relays choose an address themselves; endpoints of scenarios have one too. A port that is asked for is still opened on 127.0.0.1. The test of the relay connects to the address that it is told.

--- a/packages/bench/src/scenarios/fleet-endpoint.ts
+++ b/packages/bench/src/scenarios/fleet-endpoint.ts
@@ -1,4 +1,6 @@
-import {StandInEndpoint, type EndpointBehaviour, type EndpointRun} from '@tanagerrail/stand-ins';
+import {
+	chooseLoopbackHost, StandInEndpoint, type EndpointBehaviour, type EndpointRun,
+} from '@tanagerrail/stand-ins';
 
 /** Options of {@link FleetEndpoint}. */
 export type FleetEndpointOptions = {
@@ -13,6 +15,7 @@
 	readonly standIn: StandInEndpoint;
 	/** Whether the host list shows it as leaving. */
 	isLeaving = false;
+	readonly #host = chooseLoopbackHost();
 	#port = 0;
 	#isRunning = false;
 
@@ -26,7 +29,7 @@
 
 	/** `ip:port`. */
 	get address(): string {
-		return `127.0.0.1:${this.#port}`;
+		return `${this.#host}:${this.#port}`;
 	}
 
 	get runs(): readonly EndpointRun[] {
@@ -41,7 +44,7 @@
 	async start(): Promise<void> {
 		if (!this.#isRunning) {
 			this.#isRunning = true;
-			this.#port = await this.standIn.start(this.#port);
+			this.#port = await this.standIn.start(this.#port, this.#host);
 		}
 	}
 
--- a/packages/bench/src/soak/soak-endpoint.ts
+++ b/packages/bench/src/soak/soak-endpoint.ts
@@ -1,8 +1,6 @@
 import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
-import {
-	chooseLoopbackHost, StandInRoutedEndpoint, TcpRelay, type RoutedEndpointRun,
-} from '@tanagerrail/stand-ins';
+import {StandInRoutedEndpoint, TcpRelay, type RoutedEndpointRun} from '@tanagerrail/stand-ins';
 import type {SoakLedger} from './soak-ledger.js';
 
 /** Usual duration of the work, in milliseconds. */
@@ -102,11 +100,9 @@
 
 	/** Starts to listen. */
 	async start(): Promise<void> {
-		// On a shared address, requests of other test processes reach ports that have just become free.
-		const host = chooseLoopbackHost();
-		await this.standIn.start(host);
+		await this.standIn.start();
 		this.relay = new TcpRelay(this.standIn.address);
-		this.address = await this.relay.start(0, host);
+		this.address = await this.relay.start();
 	}
 
 	/** Stops at once. */
--- a/packages/bench/src/soak/soak-host.ts
+++ b/packages/bench/src/soak/soak-host.ts
@@ -1,5 +1,6 @@
 import fs from 'node:fs';
 import path from 'node:path';
+import {setTimeout as wait} from 'node:timers/promises';
 import {chooseLoopbackHost, TcpRelay} from '@tanagerrail/stand-ins';
 import {stringify} from 'yaml';
 import {ManagedProcess, waitUntil} from '../testbed/index.js';
@@ -85,7 +86,7 @@
 	 */
 	async start(seeds: readonly string[]): Promise<void> {
 		this.#seeds = seeds;
-		this.#storeAddress = await this.storeRelay.start(0, this.#loopback);
+		this.#storeAddress = await this.storeRelay.start();
 		this.restart();
 		void this.#watchReadiness();
 	}
@@ -197,9 +198,7 @@
 	async #watchReadiness(): Promise<void> {
 		while (!this.#ended.signal.aborted) {
 			this.isReady = await checkReady(this.#readinessAddress);
-			await new Promise(resolve => {
-				setTimeout(resolve, readinessMilliseconds);
-			});
+			await wait(readinessMilliseconds);
 		}
 	}
 }
--- a/packages/stand-ins/src/platform-server.ts
+++ b/packages/stand-ins/src/platform-server.ts
@@ -2,6 +2,7 @@
 	createServer, type IncomingHttpHeaders, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {setTimeout as wait} from 'node:timers/promises';
+import {chooseLoopbackHost} from './choose-loopback-host.js';
 import {noPlatformFaults, platformFaultsSchema, type PlatformFaults} from './platform-faults.js';
 
 /** A request received in full. */
@@ -38,8 +39,6 @@
 /** Reads and writes that a stand-in answered with success. */
 export type PlatformCounts = {readonly reads: number; readonly writes: number};
 
-const host = '127.0.0.1';
-
 /**
  * Serves a platform service with faults. `GET /-/faults` and `PUT /-/faults` show and change them, `GET /-/counts` shows
  * the successful reads and writes.
@@ -50,6 +49,7 @@
 	#server: Server;
 	#faults = noPlatformFaults;
 	readonly #counts = {reads: 0, writes: 0};
+	#host = '127.0.0.1';
 	#port = 0;
 
 	constructor(protocol: PlatformProtocol) {
@@ -69,13 +69,14 @@
 	/**
 	 * Starts to listen.
 	 *
-	 * @param port - Port; 0 picks a free one.
+	 * @param port - Port on 127.0.0.1; 0 picks a free one on an address of its own, which nobody else takes during an outage.
 	 * @returns The URLs in use.
 	 */
 	async start(port = 0): Promise<PlatformUrls> {
-		this.#port = await openPort(this.#server, port);
-		const controlPort = await openPort(this.#control, 0);
-		return {url: `http://${host}:${this.#port}`, controlUrl: `http://${host}:${controlPort}`};
+		this.#host = port === 0 ? chooseLoopbackHost() : this.#host;
+		this.#port = await this.#open(this.#server, port);
+		const controlPort = await this.#open(this.#control, 0);
+		return {url: `http://${this.#host}:${this.#port}`, controlUrl: `http://${this.#host}:${controlPort}`};
 	}
 
 	/**
@@ -104,7 +105,7 @@
 			server.closeAllConnections();
 		} else if (former === 'refused') {
 			this.#server = this.#createServer();
-			await openPort(this.#server, this.#port);
+			await this.#open(this.#server, this.#port);
 		}
 	}
 
@@ -114,6 +115,15 @@
 		closeServer(this.#control);
 	}
 
+	async #open(server: Server, port: number): Promise<number> {
+		await new Promise<void>((resolve, reject) => {
+			server.once('error', reject);
+			server.listen(port, this.#host, resolve);
+		});
+		const address = server.address();
+		return typeof address === 'object' && address ? address.port : port;
+	}
+
 	#createServer(): Server {
 		return createServer({keepAliveTimeout: 60_000}, (req, res) => {
 			void this.#handle(req, res);
@@ -198,15 +208,6 @@
 	}
 }
 
-async function openPort(server: Server, port: number): Promise<number> {
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(port, host, resolve);
-	});
-	const address = server.address();
-	return typeof address === 'object' && address ? address.port : port;
-}
-
 function closeServer(server: Server): void {
 	server.close();
 	server.closeAllConnections();
@@ -219,7 +220,7 @@
 	}
 
 	return {
-		method: req.method ?? 'GET', url: new URL(req.url ?? '/', `http://${host}`), headers: req.headers, body: Buffer.concat(chunks),
+		method: req.method ?? 'GET', url: new URL(req.url ?? '/', 'http://stand-in'), headers: req.headers, body: Buffer.concat(chunks),
 	};
 }
 
--- a/packages/stand-ins/src/stand-in-routed-endpoint.ts
+++ b/packages/stand-ins/src/stand-in-routed-endpoint.ts
@@ -2,6 +2,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
+import {chooseLoopbackHost} from './choose-loopback-host.js';
 
 /** A request that the endpoint received. */
 export type RoutedEndpointRun = {
@@ -141,14 +142,10 @@
 		return `${address}:${port}`;
 	}
 
-	/**
-	 * Starts to listen on a free port.
-	 *
-	 * @param host - IP address.
-	 */
-	async start(host = '127.0.0.1'): Promise<void> {
+	/** Starts to listen on a free port of an address of its own. */
+	async start(): Promise<void> {
 		await new Promise<void>(resolve => {
-			this.#server.listen(0, host, resolve);
+			this.#server.listen(0, chooseLoopbackHost(), resolve);
 		});
 	}
 
--- a/packages/stand-ins/src/stand-in-row-store.ts
+++ b/packages/stand-ins/src/stand-in-row-store.ts
@@ -2,6 +2,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
+import {chooseLoopbackHost} from './choose-loopback-host.js';
 
 /** A row as the store keeps it. */
 type StoredRow = {table: string; part: string; key: string; value: string; row_version: number};
@@ -57,7 +58,7 @@
 	/** Starts to listen on a free port. */
 	async start(): Promise<void> {
 		await new Promise<void>(resolve => {
-			this.#server.listen(0, '127.0.0.1', resolve);
+			this.#server.listen(0, chooseLoopbackHost(), resolve);
 		});
 	}
 
--- a/packages/stand-ins/src/tcp-relay.ts
+++ b/packages/stand-ins/src/tcp-relay.ts
@@ -2,6 +2,7 @@
 	connect, createServer, type Server, type Socket,
 } from 'node:net';
 import {setTimeout as waitMilliseconds} from 'node:timers/promises';
+import {chooseLoopbackHost} from './choose-loopback-host.js';
 
 const checkMilliseconds = 20;
 
@@ -25,7 +26,8 @@
 	readonly #target: {readonly host: string; readonly port: number};
 	readonly #pairs = new Set<Pair>();
 	readonly #silenced = new Set<RelayDirection>();
-	#host = '127.0.0.1';
+	/** An address of its own, so that nobody else takes the port while connections are refused. */
+	readonly #host = chooseLoopbackHost();
 	#port = 0;
 	#delayMilliseconds = 0;
 	#isRefusing = false;
@@ -52,15 +54,13 @@
 	 * Starts to listen.
 	 *
 	 * @param port - Port; 0 picks a free one.
-	 * @param host - IP address.
 	 * @returns `ip:port` of the relay.
 	 */
-	async start(port = 0, host = this.#host): Promise<string> {
-		this.#host = host;
+	async start(port = 0): Promise<string> {
 		await this.#listen(port);
 		const address = this.#server.address();
 		this.#port = typeof address === 'object' && address ? address.port : port;
-		return `${host}:${this.#port}`;
+		return `${this.#host}:${this.#port}`;
 	}
 
 	/**
--- a/packages/stand-ins/tests/tcp-relay.test.ts
+++ b/packages/stand-ins/tests/tcp-relay.test.ts
@@ -30,7 +30,7 @@
 }
 
 async function openClient(address: string): Promise<{socket: Socket; received: () => string; failure: Promise<string>}> {
-	const socket = connect({host: '127.0.0.1', port: Number(address.split(':')[1])});
+	const socket = connect({host: address.split(':')[0], port: Number(address.split(':')[1])});
 	let received = '';
 	socket.on('data', (chunk: Uint8Array) => {
 		received += Buffer.from(chunk).toString();
