--- a/packages/bench/src/chaos/plan-faults.ts
+++ b/packages/bench/src/chaos/plan-faults.ts
@@ -33,7 +33,7 @@
  */
 export function planFaults(random: RandomSource, options: PlanOptions): PlannedFault[] {
 	const faults: PlannedFault[] = [];
-	for (let at = firstFault; at < options.milliseconds; at += drawBetween(random, shortestGap, longestGap)) {
+	for (let at = firstFault; at < options.milliseconds; at += random.drawBetween(shortestGap, longestGap)) {
 		const shape = random.drawIndex(3);
 		const first = planFault(random, at, faults, options);
 		const second = shape === 1 ? planFault(random, at, [...faults, ...first], options) : [];
@@ -56,7 +56,7 @@
 	const target = possible[random.drawIndex(possible.length)]!;
 	const others = options.entries.filter(id => id !== target);
 	const fault = {
-		kind, scope, target, other: others[random.drawIndex(others.length)]!, from, until: from + drawBetween(random, shortestFault, longestFault),
+		kind, scope, target, other: others[random.drawIndex(others.length)]!, from, until: from + random.drawBetween(shortestFault, longestFault),
 	};
 	return isAllowed(fault, planned, options) ? [fault] : [];
 }
@@ -79,7 +79,3 @@
 	const length = fault.until - fault.from;
 	return {...fault, from: fault.until + length, until: fault.until + (2 * length)};
 }
-
-function drawBetween(random: RandomSource, least: number, most: number): number {
-	return Math.round(least + (random.draw() * (most - least)));
-}
--- a/packages/bench/src/load/random-source.ts
+++ b/packages/bench/src/load/random-source.ts
@@ -28,6 +28,17 @@
 		return -mean * Math.log(1 - this.draw());
 	}
 
+	/**
+	 * Draws an integer between two others.
+	 *
+	 * @param least - The least one, included.
+	 * @param most - The greatest one, included.
+	 * @returns The integer.
+	 */
+	drawBetween(least: number, most: number): number {
+		return Math.round(least + (this.draw() * (most - least)));
+	}
+
 	/**
 	 * Draws an integer.
 	 *
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -2,9 +2,9 @@
 import process from 'node:process';
 import {cac} from 'cac';
 import {registerChaos} from './chaos/chaos-command.js';
-import {registerSoak} from './soak/index.js';
 import {experiments, type ExperimentReport} from './experiments/index.js';
 import {renderPlot} from './report/render-plot.js';
+import {registerSoak} from './soak/index.js';
 
 type BenchOptions = {
 	readonly seed: number;
--- a/packages/bench/src/soak/check-promises.ts
+++ b/packages/bench/src/soak/check-promises.ts
@@ -44,11 +44,10 @@
 	},
 	/** What reached a sound endpoint is answered, also by a host that stops. */
 	* 'run-is-answered'(fleet) {
-		const now = performance.now();
 		for (const sent of fleet.ledger.requests.values()) {
 			const run = fleet.ledger.listRuns(sent.id).at(-1);
 			const isLost = sent.endedAt !== undefined && sent.status === undefined && !sent.hasLeft && run?.ending === SoakEnding.serve;
-			if (isLost && sent.error !== 'ABORT_ERR' && getHost(fleet, sent).faults.isCalm(sent.sentAt, Math.min(now, sent.endedAt!))) {
+			if (isLost && sent.error !== 'ABORT_ERR' && getHost(fleet, sent).faults.isCalm(sent.sentAt, sent.endedAt!)) {
 				yield describe('run-is-answered', sent, `${sent.error} after it ran at ${run.endpoint}`);
 			}
 		}
@@ -135,20 +134,10 @@
 			}
 		}
 	},
-	/** A host writes one JSON object a line, and no error of its own. */
-	* 'logs-are-readable'({hosts}) {
-		for (const {id, logFile} of hosts) {
-			for (const line of fs.readFileSync(logFile, 'utf8').split('\n').slice(0, -1)) {
-				if (!isReadable(line)) {
-					yield {promise: 'logs-are-readable', subject: id, detail: line.slice(0, 300)};
-				}
-			}
-		}
-	},
 };
 
 /**
- * Checks all promises on what has been seen so far.
+ * Checks the promises on what has been seen so far.
  *
  * @param fleet - The fleet with its ledger.
  * @returns What was broken.
@@ -157,6 +146,19 @@
 	return Object.values(checks).flatMap(check => [...check(fleet)]);
 }
 
+/**
+ * Checks that each host has written one JSON object a line, and no error of its own. Logs are long, and a run in progress is
+ * not held up by reading them.
+ *
+ * @param fleet - The fleet.
+ * @returns The lines that are otherwise.
+ */
+export function checkLogs({hosts}: SoakFleet): SoakBreach[] {
+	return hosts.flatMap(({id, logFile}) => fs.readFileSync(logFile, 'utf8').split('\n').slice(0, -1)
+		.filter(line => !isReadable(line))
+		.map(line => ({promise: 'logs-are-readable', subject: id, detail: line.slice(0, 300)})));
+}
+
 /**
  * Checks that reads are served again after the last fault.
  *
@@ -195,4 +197,3 @@
 		return false;
 	}
 }
-
--- a/packages/bench/src/soak/plan-soak.ts
+++ b/packages/bench/src/soak/plan-soak.ts
@@ -24,13 +24,13 @@
 export function planSoak(random: RandomSource, milliseconds: number): SoakFault[] {
 	const kinds = Object.keys(soakFaults);
 	const faults: SoakFault[] = [];
-	for (let at = firstFault; at < milliseconds; at += drawBetween(random, shortestPause, longestPause)) {
+	for (let at = firstFault; at < milliseconds; at += random.drawBetween(shortestPause, longestPause)) {
 		const count = 1 + random.drawIndex(faultsInGroup);
 		for (let index = 0; index < count; index++) {
 			faults.push({
 				kind: kinds[random.drawIndex(kinds.length)]!,
-				from: at + drawBetween(random, 0, groupMilliseconds),
-				milliseconds: drawBetween(random, shortestFault, longestFault),
+				from: at + random.drawBetween(0, groupMilliseconds),
+				milliseconds: random.drawBetween(shortestFault, longestFault),
 				target: random.draw(),
 				variant: random.draw(),
 			});
@@ -39,7 +39,3 @@
 
 	return faults.sort((left, right) => left.from - right.from);
 }
-
-function drawBetween(random: RandomSource, least: number, most: number): number {
-	return Math.round(least + (random.draw() * (most - least)));
-}
--- a/packages/bench/src/soak/run-soak.ts
+++ b/packages/bench/src/soak/run-soak.ts
@@ -1,7 +1,9 @@
 import {monitorEventLoopDelay} from 'node:perf_hooks';
 import {setTimeout as wait} from 'node:timers/promises';
 import {RandomSource} from '../load/random-source.js';
-import {checkPromises, checkRecovery, type SoakBreach} from './check-promises.js';
+import {
+	checkLogs, checkPromises, checkRecovery, type SoakBreach,
+} from './check-promises.js';
 import {planSoak} from './plan-soak.js';
 import {SoakClient} from './soak-client.js';
 import {soakFaults, type SoakFault} from './soak-faults.js';
@@ -81,12 +83,13 @@
 	const ended = new AbortController();
 	const delays = monitorEventLoopDelay();
 	delays.enable();
+	let checker: NodeJS.Timeout | undefined;
 	try {
 		await fleet.start();
 		const load = Promise.all(Array.from({length: clients}, async (_, index) => new SoakClient({
 			name: `client-${index}`, fleet, random: new RandomSource((seed * clients) + index),
 		}).run(ended.signal)));
-		const checker = setInterval(() => {
+		checker = setInterval(() => {
 			note(checkPromises(fleet));
 		}, checkMilliseconds);
 		await Promise.all(plan.map(async fault => {
@@ -98,9 +101,11 @@
 		const calmSince = await waitServed(fleet);
 		ended.abort();
 		await load;
-		clearInterval(checker);
-		note([...checkPromises(fleet), ...checkRecovery(fleet, calmSince)]);
+		note([...checkPromises(fleet), ...checkRecovery(fleet, calmSince), ...checkLogs(fleet)]);
 	} finally {
+		ended.abort();
+		clearInterval(checker);
+		delays.disable();
 		await fleet.stop();
 	}
 
--- a/packages/bench/src/soak/soak-client.ts
+++ b/packages/bench/src/soak/soak-client.ts
@@ -96,12 +96,12 @@
 	async #receive(sent: SoakRequest, address: string): Promise<void> {
 		const [hostname, port] = address.split(':');
 		const isLeaving = this.#random.draw() < leaveShare;
-		const waits = isLeaving ? sent.waitMilliseconds * this.#random.draw() * 0.1 : sent.waitMilliseconds + 500;
+		const milliseconds = isLeaving ? sent.waitMilliseconds * this.#random.draw() * 0.1 : sent.waitMilliseconds + 500;
 		sent.hasLeft = isLeaving;
 		const req = request({
 			hostname, port, path: sent.target, method: sent.kind === SoakRequestKind.payment ? 'POST' : 'GET', agent: this.#agent,
 			headers: {host: 'site.example', 'x-attempt-id': sent.id, 'x-deadline-ms': String(sent.waitMilliseconds)},
-			signal: AbortSignal.timeout(Math.ceil(waits)),
+			signal: AbortSignal.timeout(Math.ceil(milliseconds)),
 		});
 		req.once('socket', socket => {
 			this.#socket = socket;
--- a/packages/bench/src/soak/soak-faults.ts
+++ b/packages/bench/src/soak/soak-faults.ts
@@ -1,5 +1,6 @@
 import {setTimeout as wait} from 'node:timers/promises';
 import {RelayCut, RelayDirection, RowStoreFault} from '@tanagerrail/stand-ins';
+import type {DisturbanceLog} from './disturbance-log.js';
 import {soakBounds} from './soak-bounds.js';
 import {SoakEnding, type SoakEndpoint} from './soak-endpoint.js';
 import {soakServices, type SoakFleet, type SoakService} from './soak-fleet.js';
@@ -33,28 +34,35 @@
 	return items[Math.floor(number * items.length)]!;
 }
 
-async function runDisturbed(host: SoakHost, act: () => Promise<void>): Promise<void> {
-	const end = host.faults.start();
+/** Notes a fault for all whom it concerns while it acts. */
+async function runDisturbed(logs: readonly DisturbanceLog[], act: () => Promise<void>): Promise<void> {
+	const ends = logs.map(log => log.start());
 	await act();
-	end();
+	for (const end of ends) {
+		end();
+	}
+}
+
+function listFaults(hosts: readonly SoakHost[]): DisturbanceLog[] {
+	return hosts.map(({faults}) => faults);
 }
 
 async function stopHost(host: SoakHost): Promise<void> {
-	const end = host.stops.start();
-	await host.stopGracefully();
-	host.restart();
-	end();
+	await runDisturbed([host.stops], async () => {
+		await host.stopGracefully();
+		host.restart();
+	});
 }
 
 function createHostFault(act: (host: SoakHost, fault: SoakFault) => Promise<void>): RunSoakFault {
 	return async (fleet, fault) => {
 		const host = pick(fleet.hosts, fault.target);
-		await runDisturbed(host, async () => act(host, fault));
+		await runDisturbed([host.faults], async () => act(host, fault));
 	};
 }
 
 async function killHosts(hosts: readonly SoakHost[], milliseconds: number): Promise<void> {
-	await Promise.all(hosts.map(async host => runDisturbed(host, async () => {
+	await Promise.all(hosts.map(async host => runDisturbed([host.faults], async () => {
 		await host.kill();
 		await wait(milliseconds);
 		host.restart();
@@ -62,13 +70,11 @@
 }
 
 function createStoreFault(storeFault: RowStoreFault): RunSoakFault {
-	return async (fleet, {milliseconds}) => {
-		const end = fleet.storeFaults.start();
-		fleet.store.fault = storeFault;
+	return async ({store, storeFaults}, {milliseconds}) => runDisturbed([storeFaults], async () => {
+		store.fault = storeFault;
 		await wait(milliseconds);
-		fleet.store.fault = undefined;
-		end();
-	};
+		store.fault = undefined;
+	});
 }
 
 /** Changes an endpoint for a while; the promises about its requests know the ending of each arrival. */
@@ -84,13 +90,7 @@
 /** A connection that a fault breaks may carry a request of any host. */
 function createNetworkFault(begin: (endpoint: SoakEndpoint, fault: SoakFault) => void, end: (endpoint: SoakEndpoint) => void | Promise<void>): RunSoakFault {
 	const run = createEndpointFault(begin, end);
-	return async (fleet, fault) => {
-		const ends = fleet.hosts.map(host => host.faults.start());
-		await run(fleet, fault);
-		for (const endDisturbance of ends) {
-			endDisturbance();
-		}
-	};
+	return async (fleet, fault) => runDisturbed(listFaults(fleet.hosts), async () => run(fleet, fault));
 }
 
 const endings = [SoakEnding.fail, SoakEnding.reset, SoakEnding.cut, SoakEnding.twice, SoakEnding.hang, SoakEnding.unsealed];
@@ -98,11 +98,9 @@
 
 /** All faults by name. */
 export const soakFaults: Readonly<Record<string, RunSoakFault>> = {
-	'host-killed': createHostFault(async (host, {milliseconds}) => {
-		await host.kill();
-		await wait(milliseconds);
-		host.restart();
-	}),
+	async 'host-killed'({hosts}, {target, milliseconds}) {
+		await killHosts([pick(hosts, target)], milliseconds);
+	},
 	async 'hosts-killed'({hosts}, {milliseconds, variant}) {
 		await killHosts(variant < 0.3 ? hosts : hosts.filter((_, index) => index % 2 === 0), milliseconds);
 	},
@@ -118,7 +116,7 @@
 	},
 	async 'host-killed-while-it-stops'({hosts}, {target, variant}) {
 		const host = pick(hosts, target);
-		await runDisturbed(host, async () => {
+		await runDisturbed([host.faults], async () => {
 			const stopped = stopHost(host);
 			await wait(variant * 1000);
 			await host.kill();
@@ -148,38 +146,35 @@
 		await host.storeRelay.restore();
 	}),
 	async 'store-connections-silent'({hosts}, {milliseconds}) {
-		const ends = hosts.map(host => host.faults.start());
-		for (const host of hosts) {
-			host.storeRelay.disconnectOpen();
-		}
+		await runDisturbed(listFaults(hosts), async () => {
+			for (const {storeRelay} of hosts) {
+				storeRelay.disconnectOpen();
+			}
 
-		await wait(milliseconds);
-		for (const end of ends) {
-			end();
-		}
+			await wait(milliseconds);
+		});
 	},
 	async 'store-delayed'({hosts, storeFaults}, {milliseconds, variant}) {
-		const end = storeFaults.start();
-		for (const {storeRelay} of hosts) {
-			storeRelay.setDelay(50 + (variant * 400));
-		}
-
-		await wait(milliseconds);
-		for (const {storeRelay} of hosts) {
-			storeRelay.setDelay(0);
-		}
+		await runDisturbed([storeFaults], async () => {
+			for (const {storeRelay} of hosts) {
+				storeRelay.setDelay(50 + (variant * 400));
+			}
 
-		end();
+			await wait(milliseconds);
+			for (const {storeRelay} of hosts) {
+				storeRelay.setDelay(0);
+			}
+		});
 	},
 	'store-busy': createStoreFault(RowStoreFault.busy),
 	'store-silent': createStoreFault(RowStoreFault.silent),
 	'store-resets': createStoreFault(RowStoreFault.reset),
 	'store-throttles': createStoreFault(RowStoreFault.throttled),
 	async 'store-forgets'({store, storeFaults}) {
-		const end = storeFaults.start();
-		store.dropHistory();
-		store.dropConnections();
-		end();
+		await runDisturbed([storeFaults], async () => {
+			store.dropHistory();
+			store.dropConnections();
+		});
 	},
 	'endpoint-slow': createEndpointFault((endpoint, {variant}) => {
 		endpoint.slowness = 4 + (variant * 20);
@@ -232,14 +227,12 @@
 	async 'endpoint-vanishes'(fleet, {target, milliseconds}) {
 		const endpoint = pickStaying(fleet, target);
 		endpoint.state = 'draining';
-		const ends = fleet.hosts.map(host => host.faults.start());
-		await endpoint.stop();
-		await wait(milliseconds);
-		await fleet.removeEndpoint(endpoint);
-		await fleet.addEndpoint(endpoint.service);
-		for (const end of ends) {
-			end();
-		}
+		await runDisturbed(listFaults(fleet.hosts), async () => {
+			await endpoint.stop();
+			await wait(milliseconds);
+			await fleet.removeEndpoint(endpoint);
+			await fleet.addEndpoint(endpoint.service);
+		});
 	},
 	async 'routes-changed'(fleet, {variant}) {
 		for (let step = 0; step < 1 + Math.floor(variant * 4); step++) {
