fix(http): ready responses behind a slow one go out before the shutdown ends

Cause, by reading: at the end of a shutdown all connections were closed, also those on which a ready response waited behind a request that was still running. A second way to the same loss, also found by reading: a request that arrives behind another one after the listener has stopped starts late and can run past the end. Change: 200 ms before connections close, requests that still run are given up with 504 endpoint-timeout, or 503 if they were sent to no endpoint. Once the listener has stopped, a request behind another one is not read, and the last response due on the connection announces its end.

--- a/packages/cli/src/edge-host.ts
+++ b/packages/cli/src/edge-host.ts
@@ -22,6 +22,9 @@
 /** Time at the end of the shutdown that is kept for closing connections, in milliseconds. */
 const closingMilliseconds = 300;
 
+/** Time before the closing of connections in which the responses to requests that were given up go out, in milliseconds. */
+const finalResponsesMilliseconds = 200;
+
 /** Part of the probes that the endpoints allow which is used. */
 const usableProbes = 0.6;
 
@@ -117,9 +120,9 @@
 		logger.log(LogLevel.info, 'host-stopping', {inProgress: this.#listener.inProgress});
 		await wait(lameDuckMilliseconds);
 		this.#listener.stop();
-		while (this.#listener.inProgress + this.#listener.expected > 0 && clock() < endsAt) {
-			await wait(10);
-		}
+		await this.#waitRequests(endsAt - finalResponsesMilliseconds);
+		this.#listener.expireRequests();
+		await this.#waitRequests(endsAt);
 
 		logger.log(LogLevel.info, 'host-stopped', {cutOff: this.#listener.inProgress, milliseconds: Math.round(clock() - startedAt)});
 		this.close();
@@ -135,6 +138,13 @@
 		this.#connections.close();
 	}
 
+	/** Waits until no request is in progress or expected, or until a moment of the monotonic clock. */
+	async #waitRequests(until: number): Promise<void> {
+		while (this.#listener.inProgress + this.#listener.expected > 0 && clock() < until) {
+			await wait(10);
+		}
+	}
+
 	#createListener(): CallerListener<RoutedRequest> {
 		return new CallerListener({
 			clock,
--- a/packages/http/src/caller-listener.ts
+++ b/packages/http/src/caller-listener.ts
@@ -6,7 +6,7 @@
 import {createLogger, LogLevel, type Clock} from '@tanagerrail/telemetry';
 import {createListenerServer} from './create-listener-server.js';
 import {defaultRequestLimits, type RequestLimits} from './request-limits.js';
-import type {ReceivedRequest, RequestReceiver} from './request-receiver.js';
+import {RequestAbort, type ReceivedRequest, type RequestReceiver} from './request-receiver.js';
 import type {TlsFiles} from './tls-files.js';
 
 const logger = createLogger('http');
@@ -40,6 +40,8 @@
 	dispatched: number;
 	/** Whether the connection was refused, so that no further request may run. */
 	isRefused: boolean;
+	/** Response to the latest request. */
+	last: ServerResponse | undefined;
 	/** Whether its last response has been announced or its end has been sent; what arrives after that counts as not read. */
 	isClosing: boolean;
 };
@@ -132,6 +134,13 @@
 		}
 	}
 
+	/** Gives up on requests that still run, so that ready responses behind them on their connections go out. */
+	expireRequests(): void {
+		for (const controller of [...this.#uses.values()].flatMap(({requests}) => [...requests])) {
+			controller.abort(RequestAbort.hostEnds);
+		}
+	}
+
 	/** Breaks all connections. */
 	abort(): void {
 		this.#server.closeAllConnections();
@@ -143,10 +152,12 @@
 		const id = receiver.readId(req);
 		const use = this.#getUse(req.socket);
 		use.hasCarried = true;
-		if (use.isClosing) {
+		if (use.isClosing || this.#closeAfterLast(use)) {
 			return;
 		}
 
+		use.last = res;
+
 		const controller = this.#trackRequest(use, res);
 		const beforeHead = () => {
 			// Responses that are due after this one would be lost with the connection.
@@ -192,7 +203,7 @@
 		res.once('close', () => {
 			this.#endRequest(use, controller);
 			if (!res.writableFinished) {
-				controller.abort();
+				controller.abort(RequestAbort.callerGone);
 			}
 
 			if (this.#isStopped) {
@@ -235,7 +246,7 @@
 		}
 
 		const use: ConnectionUse = {
-			openedAt: this.#options.clock(), requests: new Set(), hasCarried: false, dispatched: 0, isRefused: false, isClosing: false,
+			openedAt: this.#options.clock(), requests: new Set(), hasCarried: false, dispatched: 0, last: undefined, isRefused: false, isClosing: false,
 		};
 		this.#uses.set(socket, use);
 		// Responses that wait behind an earlier one are not told by Node.js that their connection is closed.
@@ -243,7 +254,7 @@
 			this.#uses.delete(socket);
 			for (const controller of use.requests) {
 				this.#endRequest(use, controller);
-				controller.abort();
+				controller.abort(RequestAbort.callerGone);
 			}
 		});
 		return use;
@@ -282,6 +293,17 @@
 		}
 	}
 
+	/** Announces the end of a connection with the last response due on it once the listener has stopped; later requests count as not read. */
+	#closeAfterLast(use: ConnectionUse): boolean {
+		if (!this.#isStopped || use.requests.size === 0 || use.last!.headersSent) {
+			return false;
+		}
+
+		use.last!.setHeader('connection', 'close');
+		use.isClosing = true;
+		return true;
+	}
+
 	#isExpecting({hasCarried, openedAt}: ConnectionUse): boolean {
 		return !hasCarried && this.#options.clock() - openedAt < firstRequestMilliseconds;
 	}
--- a/packages/http/src/request-receiver.ts
+++ b/packages/http/src/request-receiver.ts
@@ -2,13 +2,16 @@
 import type {Result} from 'neverthrow';
 import type {Failure} from '@tanagerrail/results';
 
+/** Why a request is broken off before its response is complete. */
+export const RequestAbort = {callerGone: 'caller-gone', hostEnds: 'host-ends'} as const;
+
 /** What the listener knows about a request whose headers have arrived. */
 export type Arrival = {
 	/** Monotonic time of arrival in milliseconds. */
 	readonly arrivedAt: number;
 	/** Requests in progress on the caller's connection, this one included. */
 	readonly connectionRequests: number;
-	/** Aborted when the caller is gone before its response is complete. */
+	/** Aborted, with a value of {@link RequestAbort} as the reason, before the response is complete. */
 	readonly signal: AbortSignal;
 };
 
--- a/packages/http/src/routed-attempts.ts
+++ b/packages/http/src/routed-attempts.ts
@@ -9,6 +9,7 @@
 import type {HeldConnection} from './probe-client.js';
 import {logChoice} from './log-choice.js';
 import {AttemptEnd, readAttemptEnd, type EndedAttempt} from './read-attempt-end.js';
+import {RequestAbort} from './request-receiver.js';
 import type {RoutedContext} from './routed-context.js';
 import type {RoutedRequest, RoutedResponse} from './routed-request.js';
 
@@ -91,10 +92,10 @@
 		const {timeoutAt, signal} = this.#request;
 		this.#schedule(timeoutAt - clock(), {kind: 'timeout'});
 		signal.addEventListener('abort', () => {
-			this.#notify({kind: 'caller-gone'});
+			this.#notifyAbort();
 		}, {once: true});
 		if (signal.aborted) {
-			this.#notify({kind: 'caller-gone'});
+			this.#notifyAbort();
 		}
 
 		this.#startAttempt(false);
@@ -357,6 +358,11 @@
 		return this.#wakes.shift()!;
 	}
 
+	/** The end of the host leaves a request no more time, and its caller is there to be told so. */
+	#notifyAbort(): void {
+		this.#notify({kind: this.#request.signal.reason === RequestAbort.hostEnds ? 'timeout' : 'caller-gone'});
+	}
+
 	#notify(wake: Wake): void {
 		this.#wakes.push(wake);
 		this.#wakeSignal.resolve();
--- a/packages/http/src/routed-request.ts
+++ b/packages/http/src/routed-request.ts
@@ -20,7 +20,7 @@
 	/** Monotonic time of arrival, of the end of the route's timeout and of the caller's patience, in milliseconds. */
 	readonly arrivedAt: number;
 	readonly timeoutAt: number;
-	/** Aborted when the caller is gone. */
+	/** Aborted, with a value of `RequestAbort` as the reason, before the response is complete. */
 	readonly signal: AbortSignal;
 };
 
--- a/packages/http/tests/caller-listener.test.ts
+++ b/packages/http/tests/caller-listener.test.ts
@@ -200,3 +200,24 @@
 	t.equal(reached.length, 1, 'it is not read, so that its caller may send it again');
 	socket.destroy();
 });
+
+test('guards against a request behind another one that runs out of the time of the shutdown', async t => {
+	const {port, reached, listener} = await startListener(t, {}, 200);
+	const socket = net.connect({port, host: '127.0.0.1'});
+	const request = 'GET /x HTTP/1.1\r\nhost: a\r\n\r\n';
+	let received = '';
+	socket.on('data', chunk => {
+		received += String(chunk);
+	});
+	socket.write(request);
+	while (reached.length === 0) {
+		await wait(1);
+	}
+
+	listener.stop();
+	socket.write(request);
+	await once(socket, 'close');
+	t.equal(received.match(/^HTTP\/1\.1 503 /gmv)?.length, 1);
+	t.match(received, /connection: close/v, 'the caller may send what is behind it again');
+	t.equal(reached.length, 1);
+});
