fix(http): a silent attempt may use more of the retry budget the longer it is silent

Cause, traced: in connections-silent beside load, 50 ms of silence is usual because the host's own event loop is late, so second attempts of requests that are merely slow take the budget down to its reserve (10 to 5 tokens on each entry). Ruled out: a hedge that runs meanwhile (one attempt in progress at the look), a second attempt that fails (none was started). Change: an attempt is looked at again after twice the time, and the reserve is half as large at each look. Timers end with the attempt they belong to; before, the timer of a failed attempt could start a second one beside its retry.

--- a/packages/http/src/open-response.ts
+++ b/packages/http/src/open-response.ts
@@ -31,11 +31,17 @@
 	readonly result: Result<OpenedResponse, Failure>;
 };
 
-/** One attempt in progress. */
-type RunningAttempt = {readonly end: Promise<AttemptEnd>; readonly controller: AbortController};
+/** One attempt in progress, with the timers of the second attempt that may start beside it. */
+type RunningAttempt = {readonly controller: AbortController; readonly timers: Set<NodeJS.Timeout>};
 
 /** What woke up the wait for attempts. */
-type Wake = {readonly kind: 'ended'; readonly attempt: RunningAttempt; readonly end: AttemptEnd} | {readonly kind: 'hedge' | 'silence'};
+type Wake =
+	| {readonly kind: 'ended'; readonly attempt: RunningAttempt; readonly end: AttemptEnd}
+	| {readonly kind: 'hedge'}
+	| {readonly kind: 'silence'; readonly reserveShare: number};
+
+/** Part of the retry budget that stays for attempts that have failed when an attempt first looks silent. */
+const silenceReserveShare = 0.5;
 
 /**
  * Opens a response to an idempotent request: failed attempts are repeated on other endpoints, and a second attempt
@@ -50,7 +56,6 @@
 	#mayHaveRun = false;
 	#wake: ((wake: Wake) => void) | undefined;
 	#pendingWakes: Wake[] = [];
-	readonly #timers = new Set<NodeJS.Timeout>();
 
 	constructor({request, context, headers = {}, excluded = []}: ResponseOpenerOptions) {
 		this.#request = request;
@@ -69,7 +74,7 @@
 		for (;;) {
 			const wake = await this.#waitWake();
 			if (wake.kind !== 'ended') {
-				this.#startSecond(wake.kind);
+				this.#startSecond(wake);
 				continue;
 			}
 
@@ -100,18 +105,18 @@
 			&& this.#context.getRetryBudget(service.name).take();
 	}
 
-	#startSecond(kind: 'hedge' | 'silence'): void {
+	#startSecond(wake: Exclude<Wake, {kind: 'ended'}>): void {
 		if (this.#running.size !== 1) {
 			return;
 		}
 
 		const {match} = this.#request;
 		const policy = this.#context.getHedgePolicy?.(match);
-		const isPaid = kind === 'silence' || policy?.take();
+		const isHedge = wake.kind === 'hedge';
+		const isPaid = !isHedge || policy?.take();
 		const budget = this.#context.getRetryBudget(match.service.name);
-		// On a busy machine many attempts look silent; half of the budget stays for attempts that have failed.
-		if (isPaid && budget.take(budget.capacity / 2)) {
-			this.#startAttempt(kind === 'hedge');
+		if (isPaid && budget.take(budget.capacity * (isHedge ? silenceReserveShare : wake.reserveShare))) {
+			this.#startAttempt(isHedge);
 		}
 	}
 
@@ -123,13 +128,14 @@
 		};
 
 		signal.addEventListener('abort', cancel, {once: true});
-		const attempt: RunningAttempt = {controller, end: this.#runAttempt(controller.signal, isImmediate)};
+		const attempt: RunningAttempt = {controller, timers: new Set()};
 		this.#running.add(attempt);
-		void this.#watchAttempt(attempt);
+		void this.#watchAttempt(attempt, isImmediate);
 	}
 
-	async #watchAttempt(attempt: RunningAttempt): Promise<void> {
-		const end = await attempt.end;
+	async #watchAttempt(attempt: RunningAttempt, isImmediate: boolean): Promise<void> {
+		const end = await this.#runAttempt(attempt, isImmediate);
+		cancelTimers(attempt);
 		if (this.#running.has(attempt)) {
 			this.#notify({kind: 'ended', attempt, end});
 			return;
@@ -139,7 +145,8 @@
 		dropBody(end);
 	}
 
-	async #runAttempt(signal: AbortSignal, isImmediate: boolean): Promise<AttemptEnd> {
+	async #runAttempt(attempt: RunningAttempt, isImmediate: boolean): Promise<AttemptEnd> {
+		const {signal} = attempt.controller;
 		const granted = await acquireSlot(this.#request, this.#context, {excluded: this.#excluded, isImmediate, signal});
 		if (granted.isErr()) {
 			return {endpointId: undefined, isRetryable: false, result: err(granted.error)};
@@ -148,7 +155,7 @@
 		const grant = granted.value;
 		const {endpointId} = grant;
 		this.#excluded.push(endpointId);
-		this.#scheduleSecond(grant);
+		this.#scheduleSecond(attempt, grant);
 		const startedAt = this.#context.clock();
 		const sent = await sendGranted(this.#request, grant, this.#context, {signal, headers: this.#headers});
 		if (sent.isErr()) {
@@ -162,32 +169,32 @@
 	}
 
 	/** Sets the times at which a second attempt starts, unless the first one has a response by then. */
-	#scheduleSecond({address}: SlotGrant): void {
+	#scheduleSecond(attempt: RunningAttempt, {address}: SlotGrant): void {
 		const policy = this.#context.getHedgePolicy?.(this.#request.match);
 		if (!policy || this.#running.size > 1) {
 			return;
 		}
 
-		const startedAt = this.#context.clock();
 		if (policy.hedgeDelay !== undefined) {
-			this.#schedule(policy.hedgeDelay, () => {
+			schedule(attempt, policy.hedgeDelay, () => {
 				this.#notify({kind: 'hedge'});
 			});
 		}
 
-		this.#schedule(policy.silenceLimit, () => {
+		const startedAt = this.#context.clock();
+		this.#scheduleSilence(attempt, policy.silenceLimit, silenceReserveShare, () => {
 			// Idle connections as old as the silent one may be lost too; a new one costs about 1 ms.
 			this.#context.connections.get(address).dropOlder(startedAt);
-			this.#notify({kind: 'silence'});
 		});
 	}
 
-	#schedule(milliseconds: number, run: () => void): void {
-		const timer = setTimeout(() => {
-			this.#timers.delete(timer);
-			run();
-		}, milliseconds);
-		this.#timers.add(timer);
+	/** On a busy machine many attempts look silent at first; the longer one is silent, the more of the budget it may use. */
+	#scheduleSilence(attempt: RunningAttempt, milliseconds: number, reserveShare: number, dropConnections: () => void): void {
+		schedule(attempt, milliseconds, () => {
+			dropConnections();
+			this.#notify({kind: 'silence', reserveShare});
+			this.#scheduleSilence(attempt, milliseconds * 2, reserveShare / 2, dropConnections);
+		});
 	}
 
 	async #waitWake(): Promise<Wake> {
@@ -213,12 +220,9 @@
 	}
 
 	#cancelOthers(): void {
-		for (const timer of this.#timers) {
-			clearTimeout(timer);
-		}
-
-		for (const {controller} of this.#running) {
-			controller.abort(AttemptOutcome.cancelled);
+		for (const attempt of this.#running) {
+			cancelTimers(attempt);
+			attempt.controller.abort(AttemptOutcome.cancelled);
 		}
 
 		this.#running.clear();
@@ -226,6 +230,20 @@
 	}
 }
 
+function schedule({timers}: RunningAttempt, milliseconds: number, run: () => void): void {
+	const timer = setTimeout(() => {
+		timers.delete(timer);
+		run();
+	}, milliseconds);
+	timers.add(timer);
+}
+
+function cancelTimers({timers}: RunningAttempt): void {
+	for (const timer of timers) {
+		clearTimeout(timer);
+	}
+}
+
 /** Reads the body of a response that nobody wants, so that its connection can be used again. */
 function dropBody({result}: AttemptEnd): void {
 	if (result.isOk()) {
--- a/packages/http/tests/serve-idempotent.test.ts
+++ b/packages/http/tests/serve-idempotent.test.ts
@@ -154,6 +154,13 @@
 	t.same(fixture.releases.slice(before).map(({release}) => release.outcome), ['success'], 'the other silent connections are out of use');
 });
 
+test('guards against reads that stay silent to their deadline because the budget keeps a reserve at the first look', async t => {
+	const fixture = await startFixture(t);
+	fixture.endpoints[0]!.update({stallMilliseconds: 4500});
+	const sent = await Promise.all(Array.from({length: 8}, async () => fixture.send()));
+	t.strictSame(sent.map(({status}) => status), Array.from({length: 8}, () => 200));
+});
+
 test('a download that breaks off goes on at the next byte on another endpoint', async t => {
 	const fixture = await startFixture(t);
 	const whole = await fixture.send(download);
