test(peers): a pause of the test process does not end the lease test

Cause, traced: a leased slot is used only if its allocator was heard of within 300 ms. When the test process stands still for longer, the host rightly asks for another slot, and the test waits for ever for a lease that is not used. Change: the clock of the lease test's hosts stands still, so that only messages decide. Before: with the pause, a time limit after 30 s. After: 13 assertions pass, with the pause and without.

--- a/packages/peers/tests/slot-router.test.ts
+++ b/packages/peers/tests/slot-router.test.ts
@@ -8,7 +8,7 @@
 import {HostDirectory} from '@tanagerrail/membership';
 import type {ListedHost} from '@tanagerrail/platform';
 import type {SlotGrant, SlotRequest} from '@tanagerrail/routing';
-import {readMonotonicClock as clock} from '@tanagerrail/telemetry';
+import {readMonotonicClock, type Clock} from '@tanagerrail/telemetry';
 import {AllocatorRegistry} from '../src/allocator-registry.js';
 import {SlotRouter} from '../src/slot-router.js';
 import {SlotServer} from '../src/slot-server.js';
@@ -37,7 +37,7 @@
 	router!: SlotRouter;
 	slotServer!: SlotServer;
 
-	constructor(readonly id: string) {}
+	constructor(readonly id: string, private readonly clock: Clock) {}
 
 	async openServer(): Promise<string> {
 		await new Promise<void>(resolve => {
@@ -47,6 +47,7 @@
 	}
 
 	async start(hosts: ListedHost[]): Promise<void> {
+		const {clock} = this;
 		const key = '0123456789abcdef';
 		this.directory = new HostDirectory({hostList: {list: () => okAsync(hosts)}, clock});
 		this.registry = new AllocatorRegistry({
@@ -88,8 +89,8 @@
 }
 
 /** Starts hosts in the order of their rank for the service, the allocator first. */
-async function startHosts(t: Test, count: number): Promise<Host[]> {
-	const hosts = Array.from({length: count}, (_, index) => new Host(`h${index}`));
+async function startHosts(t: Test, count: number, clock: Clock = readMonotonicClock): Promise<Host[]> {
+	const hosts = Array.from({length: count}, (_, index) => new Host(`h${index}`, clock));
 	const rows: ListedHost[] = await Promise.all(hosts.map(async (host): Promise<ListedHost> => ({
 		id: host.id, role: 'entry', state: 'live', failureDomain: 'a', address: '127.0.0.1:1', peerAddress: await host.openServer(),
 	})));
@@ -156,7 +157,8 @@
 });
 
 test('an idle slot stays with a host and serves its next request, until others wait', async t => {
-	const [first, second] = await startHosts(t, 2);
+	// A leased slot is used only if its allocator was heard of within 300 ms; a pause of the test process must not count.
+	const [first, second] = await startHosts(t, 2, () => 0);
 	const grant = await second!.acquire();
 	grant.release(release);
 	const allocator = first!.registry.get(service)!;
