fix(http): nothing more is read on a pipelined connection after the listener has stopped

By reading, the request came behind a response that was ready and waited for an earlier one; its head was written, so the end of the connection could no longer be announced with it, and the request was read. Change: such a request is not read either, and the connection ends after the last response due on it.

--- a/packages/http/src/caller-listener.ts
+++ b/packages/http/src/caller-listener.ts
@@ -293,13 +293,16 @@
 		}
 	}
 
-	/** Announces the end of a connection with the last response due on it once the listener has stopped; later requests count as not read. */
+	/** Once the listener has stopped, a connection ends with the last response due on it; later requests count as not read. */
 	#closeAfterLast(use: ConnectionUse): boolean {
-		if (!this.#isStopped || use.requests.size === 0 || use.last!.headersSent) {
+		if (!this.#isStopped || use.requests.size === 0) {
 			return false;
 		}
 
-		use.last!.setHeader('connection', 'close');
+		if (!use.last!.headersSent) {
+			use.last!.setHeader('connection', 'close');
+		}
+
 		use.isClosing = true;
 		return true;
 	}
