--- a/packages/bench/src/experiments/index.ts
+++ b/packages/bench/src/experiments/index.ts
@@ -9,6 +9,7 @@
 import {runPoison} from './poison.js';
 import {runQuietConnection} from './quiet-connection.js';
 import {runRetryStorm} from './retry-storm.js';
+import {runShiftingSpeed} from './shifting-speed.js';
 import {runTail} from './tail.js';
 
 export * from './experiment.js';
@@ -26,4 +27,5 @@
 	'quiet-connection': runQuietConnection,
 	'control-cost': runControlCost,
 	overhead: runOverhead,
+	'shifting-speed': runShiftingSpeed,
 };
--- /dev/null
+++ b/packages/bench/src/experiments/shifting-fleet.ts
@@ -0,0 +1,105 @@
+import fs from 'node:fs';
+import os from 'node:os';
+import path from 'node:path';
+import {
+	ShiftingWork, StandInRoutedEndpoint, StandInRowStore, defaultShiftingWorkOptions,
+} from '@tanagerrail/stand-ins';
+import {RandomSource} from '../load/index.js';
+import {SoakHost} from '../soak/index.js';
+
+/** Name of the one service, and the prefix of its route. */
+export const shiftingService = 'reads';
+
+/** Latency objective of its route, in milliseconds. */
+export const objectiveMilliseconds = 250;
+
+const timeoutMilliseconds = 1500;
+const cores = 2;
+
+/** Options of {@link ShiftingFleet}. */
+export type ShiftingFleetOptions = {
+	readonly seed: number;
+	readonly hosts: number;
+	readonly endpoints: number;
+	/** Script of the hosts in place of the product's. */
+	readonly script: string | undefined;
+};
+
+/** Edge hosts as processes before endpoints of this process whose speed changes many times a second. */
+export class ShiftingFleet {
+	readonly endpoints: readonly StandInRoutedEndpoint[];
+	readonly #store = new StandInRowStore();
+	readonly #options: ShiftingFleetOptions;
+	readonly #directory = fs.mkdtempSync(path.join(os.tmpdir(), 'tanagerrail-shifting-'));
+	#work: readonly ShiftingWork[] = [];
+	#hosts: readonly SoakHost[] = [];
+
+	constructor(options: ShiftingFleetOptions) {
+		this.#options = options;
+		this.endpoints = Array.from({length: options.endpoints}, (_, index) => new StandInRoutedEndpoint({id: `endpoint-${index}`, slots: defaultShiftingWorkOptions.slots}));
+	}
+
+	/** `ip:port` of the hosts for callers. */
+	get addresses(): readonly string[] {
+		return this.#hosts.map(({address}) => address);
+	}
+
+	/** Requests that the endpoints refused because they were full. */
+	get shed(): number {
+		return this.#work.reduce((sum, {shed}) => sum + shed, 0);
+	}
+
+	/** Requests that reached endpoints, refused ones included. */
+	get attempts(): number {
+		return this.endpoints.reduce((sum, {runs}) => sum + runs.length, 0);
+	}
+
+	/** Starts everything and waits until each host is ready. */
+	async start(): Promise<void> {
+		const {seed, hosts, script} = this.#options;
+		await this.#store.start();
+		await Promise.all(this.endpoints.map(async endpoint => endpoint.start()));
+		this.#work = this.endpoints.map((endpoint, index) => {
+			const random = new RandomSource(seed + index);
+			return new ShiftingWork({endpoint, draw: () => random.draw()});
+		});
+		this.#publish();
+		this.#hosts = Array.from({length: hosts}, (_, index) => new SoakHost({
+			id: `host-${index}`, failureDomain: 'zone-a', cores, directory: this.#directory, storeAddress: this.#store.address, script,
+		}));
+		const seeds = this.#hosts.map(({peerAddress}) => peerAddress);
+		await Promise.all(this.#hosts.map(async host => host.start(seeds)));
+		await Promise.all(this.#hosts.map(async host => host.waitReady()));
+	}
+
+	/** Stops everything. */
+	async stop(): Promise<void> {
+		await Promise.all(this.#hosts.map(async host => host.close()));
+		for (const work of this.#work) {
+			work.stop();
+		}
+
+		await Promise.all(this.endpoints.map(async endpoint => endpoint.stop()));
+		await this.#store.stop();
+		fs.rmSync(this.#directory, {recursive: true});
+	}
+
+	/** Writes the configuration and the entries of the endpoints. */
+	#publish(): void {
+		for (const endpoint of this.endpoints) {
+			this.#store.put('servers', endpoint.id, endpoint.buildEntry(shiftingService));
+		}
+
+		this.#store.put('op', 'config', {
+			version: 'r1',
+			routes: [{
+				name: 'route-0', hostname: 'site.example', path_prefix: `/${shiftingService}/`, type: 'safe', timeout_ms: timeoutMilliseconds,
+				target_latency_ms: objectiveMilliseconds, priority: 1, service: shiftingService, max_attempts: 3,
+			}],
+			services: [{name: shiftingService, health_check_path: '/health', max_connections: 200}],
+			limits: {
+				max_header_bytes: 16_384, max_body_bytes: 1_000_000, header_timeout_ms: 3000, idle_timeout_ms: 15_000,
+			},
+		});
+	}
+}
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,6 +1,7 @@
 export * from './choose-loopback-host.js';
 export * from './endpoint-behaviour.js';
 export * from './platform-faults.js';
+export * from './shifting-work.js';
 export * from './stand-in-endpoint.js';
 export * from './stand-in-host-list.js';
 export * from './stand-in-object-store.js';
--- a/packages/stand-ins/src/stand-in-routed-endpoint.ts
+++ b/packages/stand-ins/src/stand-in-routed-endpoint.ts
@@ -114,6 +114,7 @@
 	healthId: string;
 	/** How long work takes, in percent of the usual time. */
 	pace = 100;
+	/** Requests that are processed or wait for a slot. */
 	running = 0;
 	probes = 0;
 	readonly #slots: number;
@@ -181,7 +182,7 @@
 	}
 
 	get #load(): string {
-		return `${this.running},0,${this.#slots},${this.pace}`;
+		return `${Math.min(this.running, this.#slots)},${Math.max(0, this.running - this.#slots)},${this.#slots},${this.pace}`;
 	}
 
 	async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
