fix(configuration): one slow read of the table does not refuse an operator's change

Ruled out: a write that was lost (the refused change came to no write). Change: the basis of a change is read up to three times while the table does not answer; the whole call still has to end within the command's 10 s. Conclusion: the test guards the repeat.

--- a/packages/configuration/src/answers-manager.ts
+++ b/packages/configuration/src/answers-manager.ts
@@ -18,6 +18,12 @@
 	readonly base: number;
 };
 
+/** Times that the basis of a change is read while the table does not answer. */
+const readAttempts = 3;
+
+/** What a change is planned and accepted on. */
+type PreparedChange = {readonly plan: BasedPlan; readonly rules: ApprovalRule[]; readonly current: RevisionRecord | undefined};
+
 /** An operator's change. */
 export type ApplyRequest = {
 	/** Answers file (YAML). */
@@ -74,7 +80,7 @@
 	 * @returns The plan, or `answers-invalid` with every problem, or a failure of the table service.
 	 */
 	plan(text: string): ResultAsync<BasedPlan, Refusal> {
-		return this.#prepare(text).map(({plan}) => plan);
+		return new ResultAsync(this.#prepare(text)).map(({plan}) => plan);
 	}
 
 	/**
@@ -164,7 +170,16 @@
 		};
 	}
 
-	#prepare(text: string): ResultAsync<{plan: BasedPlan; rules: ApprovalRule[]; current: RevisionRecord | undefined}, Refusal> {
+	async #prepare(text: string): Promise<Result<PreparedChange, Refusal>> {
+		let prepared = await this.#readBasis(text);
+		for (let attempt = 1; attempt < readAttempts && prepared.isErr() && prepared.error.failure.id === 'table-unavailable'; attempt++) {
+			prepared = await this.#readBasis(text);
+		}
+
+		return prepared;
+	}
+
+	#readBasis(text: string): ResultAsync<PreparedChange, Refusal> {
 		return parseForApply(text, this.#limits).asyncAndThen(next => this.#store.readCurrent().mapErr(toRefusal)
 			.andThen(current => readCurrentAnswers(current)
 				.asyncAndThen(before => this.#store.listApprovals().mapErr(toRefusal)
--- a/packages/configuration/tests/answers-manager.test.ts
+++ b/packages/configuration/tests/answers-manager.test.ts
@@ -108,6 +108,19 @@
 	t.match(await getValue(store.readCurrent()), {revision: 1});
 });
 
+test('guards against a change that is refused because one read of the table took too long', async t => {
+	const {manager, table} = await createManager();
+	for (const late of [1, 2]) {
+		let reads = 0;
+		table.chooseFault = kind => {
+			reads += kind === 'read' ? 1 : 0;
+			return kind === 'read' && reads === late ? 'down' : undefined;
+		};
+
+		t.match(await getValue(manager.plan(createEdit(12_000))), {base: 1}, `read ${late}`);
+	}
+});
+
 test('200 conflicting changes of four clients with lost responses are all accounted for', async t => {
 	const seed = Number(process.env.SEED ?? 20_261);
 	t.comment(`seed ${seed}`);
