--- /dev/null
+++ b/packages/bench/tests/scenarios/allocators.test.ts
@@ -0,0 +1,3 @@
+import {runGroup} from './run-group.js';
+
+runGroup('allocators');
--- a/packages/bench/tests/scenarios/endpoints.test.ts
+++ b/packages/bench/tests/scenarios/endpoints.test.ts
@@ -1,12 +1,3 @@
-import t from 'tap';
-import {runScenario} from '../../src/scenarios/run-scenario.js';
-import {
-	getFailedLogDirectory, listScenarios, readScenario, scenarioGroups,
-} from './scenario-files.js';
+import {runGroup} from './run-group.js';
 
-// Each file says which promise or failure it is about; an error names the line of the step that did not hold.
-for (const name of listScenarios().filter(file => scenarioGroups.endpoints.test(file))) {
-	t.test(name, async () => {
-		await runScenario(readScenario(name), {logDirectory: getFailedLogDirectory(name)});
-	});
-}
+runGroup('endpoints');
--- a/packages/bench/tests/scenarios/scenario-files.ts
+++ b/packages/bench/tests/scenarios/scenario-files.ts
@@ -35,8 +35,10 @@
 
 /** Groups of scenarios that run in one test file each, by the beginning of the file name. */
 export const scenarioGroups = {
-	endpoints: /^(?:connections|endpoint|response)-/v,
-	hosts: /^(?:allocator|answers|graceful|host|links|measuring)-/v,
+	allocators: /^(?:allocator|answers)-/v,
+	connections: /^(?:connections|response)-/v,
+	endpoints: /^endpoint-/v,
+	hosts: /^(?:graceful|host|links|measuring)-/v,
 	payments: /^(?:claim|payment)-/v,
 	platform: /^(?:objects|table)-/v,
 } as const;
