--- a/packages/bench/src/experiments/experiment.ts
+++ b/packages/bench/src/experiments/experiment.ts
@@ -10,7 +10,14 @@
 export type PlotSeries = {readonly name: string; readonly points: ReadonlyArray<readonly [number, number]>};
 
 /** A plot of an experiment. */
-export type Plot = {readonly title: string; readonly xName: string; readonly yName: string; readonly series: readonly PlotSeries[]};
+export type Plot = {
+	readonly title: string;
+	readonly xName: string;
+	readonly yName: string;
+	/** Names of the points 0, 1 and so on of the x axis; without them it is a scale. */
+	readonly xLabels?: readonly string[];
+	readonly series: readonly PlotSeries[];
+};
 
 /** One line of figures. */
 export type FigureRow = Readonly<Record<string, string | number>>;
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -3,6 +3,7 @@
 import {cac} from 'cac';
 import {registerChaos} from './chaos/chaos-command.js';
 import {experiments, type ExperimentReport} from './experiments/index.js';
+import {registerScorePlot} from './report/plot-scores-command.js';
 import {renderPlot} from './report/render-plot.js';
 import {registerSoak} from './soak/index.js';
 
@@ -24,6 +25,7 @@
 	.action(runExperiment);
 registerChaos(program);
 registerSoak(program);
+registerScorePlot(program);
 program.help();
 
 async function runExperiment(name: string, {seed, json, plot, quick = false}: BenchOptions): Promise<void> {
--- a/packages/bench/src/report/render-plot.ts
+++ b/packages/bench/src/report/render-plot.ts
@@ -19,14 +19,16 @@
  * @param plot - Lines and their names.
  * @returns An SVG document.
  */
-export function renderPlot({title, xName, yName, series}: Plot): string {
+export function renderPlot({
+	title, xName, yName, xLabels, series,
+}: Plot): string {
 	const chart = charts.init(null, null, {renderer: 'svg', ssr: true, ...size});
 	chart.setOption({
 		animation: false,
 		backgroundColor: '#fff',
 		title: {text: title},
 		legend: {bottom: 0},
-		xAxis: {type: 'value', name: xName, scale: true},
+		xAxis: xLabels ? {type: 'category', name: xName, data: xLabels} : {type: 'value', name: xName, scale: true},
 		yAxis: {type: 'value', name: yName},
 		series: series.map(({name, points}) => ({
 			type: 'line', name, data: points, symbolSize: 6,
