--- a/packages/cli/tests/edge-host.test.ts
+++ b/packages/cli/tests/edge-host.test.ts
@@ -4,7 +4,7 @@
 import {test} from 'tap';
 import {createSlowBehaviour, routedBehaviours, type RoutedBehaviour} from '@tanagerrail/stand-ins';
 import {
-	buildConfiguration, sendRequest, standardRoutes, startEdge, waitFor, type SeenResponse,
+	buildConfiguration, sendRequest, standardRoutes, startEdge, waitFor, type SeenResponse, getStatus,
 } from './fixtures/edge-fixture.js';
 
 test('a request reaches an endpoint of its service unchanged, with the time that is left', async t => {
@@ -318,8 +318,3 @@
 	socket.destroy();
 	return received;
 }
-
-async function getStatus(response: Promise<SeenResponse>): Promise<number> {
-	const {status} = await response;
-	return status;
-}
--- /dev/null
+++ b/packages/cli/tests/edge-limits.test.ts
@@ -0,0 +1,94 @@
+import {once} from 'node:events';
+import net from 'node:net';
+import {setTimeout as wait} from 'node:timers/promises';
+import {test} from 'tap';
+import {
+	buildConfiguration, getStatus, sendRequest, standardRoutes, startEdge, waitFor,
+} from './fixtures/edge-fixture.js';
+
+/** Opens a connection, sends text and returns what comes back until the host closes it, with the time that took. */
+async function sendUntilClosed(address: string, text: string): Promise<{received: string; milliseconds: number}> {
+	const [host, port] = address.split(':');
+	const socket = net.connect({host: host!, port: Number(port)});
+	const startedAt = performance.now();
+	let received = '';
+	socket.on('data', chunk => {
+		received += String(chunk);
+	});
+	socket.on('error', () => undefined);
+	socket.write(text);
+	await once(socket, 'close');
+	return {received, milliseconds: performance.now() - startedAt};
+}
+
+function buildHead(id: string, headers = ''): string {
+	return `GET /reads/1 HTTP/1.1\r\nhost: site.example\r\nx-attempt-id: ${id}\r\nx-deadline-ms: 2000\r\n${headers}\r\n`;
+}
+
+test('headers and bodies beyond the limits of the configuration are refused and reach no endpoint', async t => {
+	const {store, endpoints, settings, send} = await startEdge(t);
+	store.put('op', 'config', buildConfiguration(2, standardRoutes, {max_header_bytes: 2000, max_body_bytes: 1000}));
+	await waitFor(async () => await getStatus(send({path: '/payments/1', method: 'POST', body: 'x'.repeat(1001)})) === 413);
+	const runs = () => Object.values(endpoints).flat().flatMap(endpoint => endpoint.runs).length;
+	const before = runs();
+	const {received} = await sendUntilClosed(settings.listen.callers, buildHead('large-1', `x-filler: ${'x'.repeat(2500)}\r\n`));
+	t.match(received, /^HTTP\/1\.1 431 /v);
+	t.match(received, /tanagerrail-outcome: not-run/v);
+	t.equal(runs(), before);
+	t.equal(await getStatus(send({path: '/payments/1', method: 'POST', body: 'x'.repeat(1000)})), 200, 'a body at the limit passes');
+});
+
+test('a caller that stops in its headers and one that stays idle are cut off after the times of the configuration', async t => {
+	const {store, settings, send} = await startEdge(t);
+	store.put('op', 'config', buildConfiguration(2, standardRoutes, {header_timeout_ms: 400, idle_timeout_ms: 500, max_body_bytes: 1000}));
+	await waitFor(async () => await getStatus(send({path: '/payments/1', method: 'POST', body: 'x'.repeat(1001)})) === 413);
+	const [stopped, idle] = await Promise.all([
+		sendUntilClosed(settings.listen.callers, 'GET /reads/1 HTTP/1.1\r\nhost: site.ex'),
+		sendUntilClosed(settings.listen.callers, buildHead('idle-1')),
+	]);
+	t.match(stopped.received, /^(?:HTTP\/1\.1 408 |$)/v);
+	// Node.js looks for slow headers once a second.
+	t.ok(stopped.milliseconds >= 400 && stopped.milliseconds < 2000, `headers: ${stopped.milliseconds} ms`);
+	t.match(idle.received, /^HTTP\/1\.1 200 /v);
+	t.match(idle.received, /keep-alive: timeout=/iv, 'the caller is told how long the connection stays');
+	// Node.js waits a second longer than it announces, so that a request that is on its way is not lost.
+	t.ok(idle.milliseconds >= 500 && idle.milliseconds < 3000, `idle: ${idle.milliseconds} ms`);
+});
+
+test('a connection is closed after the response when its caller or an endpoint asks for it, each on its own side', async t => {
+	const {endpoints, settings, send} = await startEdge(t, {services: {reads: 1, payments: 1}});
+	const {received} = await sendUntilClosed(settings.listen.callers, buildHead('close-1', 'connection: close\r\n'));
+	t.match(received, /^HTTP\/1\.1 200 [\s\S]*connection: close/iv);
+	const [endpoint] = endpoints.reads!;
+	endpoint!.behaviour = ({id, target}, res) => {
+		res.writeHead(200, {'x-attempt-id': id, 'x-server-seal': '1.2.3', connection: 'close'}).end(`ran ${target}`);
+	};
+
+	for (let count = 0; count < 3; count++) {
+		const {status, headers} = await send({});
+		t.equal(status, 200);
+		t.not(headers.connection, 'close', 'the connection of the caller stays');
+	}
+});
+
+test('the response of an endpoint that does not wait for a long body is passed on', async t => {
+	const {endpoints, send} = await startEdge(t);
+	for (const endpoint of endpoints.payments!) {
+		endpoint.isEarly = true;
+	}
+
+	const {status, body} = await send({path: '/payments/early', method: 'POST', body: 'x'.repeat(900_000)});
+	t.equal(status, 200);
+	t.equal(body, 'ran /payments/early');
+	t.equal(endpoints.payments!.flatMap(({runs}) => runs).length, 1, 'it is sent once');
+});
+
+test('a configuration that cannot be read leaves the one in force, and the next one that can is taken', async t => {
+	const {store, settings, send} = await startEdge(t);
+	store.put('op', 'config', {version: 'r2', routes: 'none'});
+	await wait(300);
+	t.equal(await getStatus(send({})), 200);
+	store.put('op', 'config', buildConfiguration(3, [{path_prefix: '/others/', type: 'safe', service: 'reads'}]));
+	await waitFor(async () => await getStatus(sendRequest(settings.listen.callers, {path: '/others/1'})) === 200);
+	t.equal(await getStatus(send({})), 404, 'the route of the former configuration is gone');
+});
--- a/packages/cli/tests/edge-program.test.ts
+++ b/packages/cli/tests/edge-program.test.ts
@@ -31,13 +31,7 @@
 	});
 	const host = chooseLoopbackHost();
 	const settings = path.join(directory, 'settings.yaml');
-	fs.writeFileSync(settings, [
-		'host: {id: host-1, failureDomain: zone-a}',
-		`listen: {callers: "${host}:8080", readiness: "${host}:8081", metrics: "${host}:8082", peers: "${host}:8083"}`,
-		'readinessPath: /ready',
-		`store: {address: "${store.address}"}`,
-		'bounds: {retryRatio: 0.2, retrySlack: 56, retryWindowSeconds: 10, shutdownSeconds: 4, drainMilliseconds: 2000, probesPerSecond: 60}',
-	].join('\n'));
+	fs.writeFileSync(settings, buildSettings(host, store.address));
 	const child = spawn(process.execPath, readArguments(settings), {cwd: root, stdio: ['ignore', 'pipe', 'inherit']});
 	t.teardown(() => child.kill('SIGKILL'));
 	const lines: string[] = [];
@@ -74,6 +68,52 @@
 	await pipe.close();
 });
 
+test('settings that have changed are taken over, with a signal at once and without one soon; faulty ones are not', async t => {
+	const directory = fs.mkdtempSync(path.join(os.tmpdir(), 'tanagerrail-edge-'));
+	const store = new StandInRowStore();
+	await store.start();
+	const file = path.join(directory, 'settings.yaml');
+	const host = chooseLoopbackHost();
+	const writeSettings = (linesPerSecond: number | string) => {
+		fs.writeFileSync(file, buildSettings(host, store.address, `log: {linesPerSecond: ${linesPerSecond}}`));
+	};
+
+	writeSettings(400);
+	const child = spawn(process.execPath, [path.resolve(import.meta.dirname, '../src/edge-main.js'), 'edge', '--settings', file], {stdio: ['ignore', 'pipe', 'inherit']});
+	t.teardown(async () => {
+		child.kill('SIGKILL');
+		fs.rmSync(directory, {recursive: true, force: true});
+		await store.stop();
+	});
+	let log = '';
+	child.stdout.setEncoding('utf8').on('data', (text: string) => {
+		log += text;
+	});
+	const countLines = (event: string) => log.split(`"event":"${event}"`).length - 1;
+	await waitFor(() => countLines('host-started') === 1, 10_000);
+	writeSettings(401);
+	child.kill('SIGHUP');
+	await waitFor(() => countLines('settings-reloaded') === 1, 5000);
+	writeSettings('many');
+	await waitFor(() => countLines('settings-not-reloaded') === 1, 5000);
+	t.match(log, /linesPerSecond/v, 'the log names the field');
+	writeSettings(402);
+	await waitFor(() => countLines('settings-reloaded') === 2, 5000);
+	t.equal(child.exitCode, null);
+});
+
+/** Builds a settings file. */
+function buildSettings(host: string, storeAddress: string, more = ''): string {
+	return [
+		'host: {id: host-1, failureDomain: zone-a}',
+		`listen: {callers: "${host}:8080", readiness: "${host}:8081", metrics: "${host}:8082", peers: "${host}:8083"}`,
+		'readinessPath: /ready',
+		`store: {address: "${storeAddress}"}`,
+		'bounds: {retryRatio: 0.2, retrySlack: 56, retryWindowSeconds: 10, shutdownSeconds: 4, drainMilliseconds: 2000, probesPerSecond: 60}',
+		more,
+	].join('\n');
+}
+
 /** Reads how the deployment starts the program. */
 function readArguments(settings: string): string[] {
 	const deployment = fs.readFileSync(path.join(root, 'deploy/system.toml'), 'utf8');
--- a/packages/stand-ins/src/stand-in-routed-endpoint.ts
+++ b/packages/stand-ins/src/stand-in-routed-endpoint.ts
@@ -110,6 +110,8 @@
 	readonly runs: RoutedEndpointRun[] = [];
 	behaviour: RoutedBehaviour;
 	isHealthy = true;
+	/** Whether requests are answered before their bodies have been read. */
+	isEarly = false;
 	/** Id that the health path names, to play a server that has taken over the address. */
 	healthId: string;
 	/** How long work takes, in percent of the usual time. */
@@ -197,16 +199,11 @@
 			return;
 		}
 
-		const chunks: Uint8Array[] = [];
-		for await (const chunk of req as AsyncIterable<Uint8Array>) {
-			chunks.push(chunk);
-		}
-
 		const run: RoutedEndpointRun = {
 			id: String(req.headers['x-attempt-id']),
 			method: req.method ?? '',
 			target: req.url ?? '',
-			body: Buffer.concat(chunks).toString(),
+			body: this.isEarly ? '' : await readText(req),
 			deadlineMilliseconds: Number(req.headers['x-deadline-ms']),
 			headers: req.headers,
 			isCancelled: false,
@@ -220,3 +217,12 @@
 		this.behaviour(run, res, req.socket);
 	}
 }
+
+async function readText(req: IncomingMessage): Promise<string> {
+	const chunks: Uint8Array[] = [];
+	for await (const chunk of req as AsyncIterable<Uint8Array>) {
+		chunks.push(chunk);
+	}
+
+	return Buffer.concat(chunks).toString();
+}
