--- a/packages/http/src/open-response.ts
+++ b/packages/http/src/open-response.ts
@@ -40,8 +40,8 @@
 	| {readonly kind: 'hedge'}
 	| {readonly kind: 'silence'; readonly reserveShare: number};
 
-/** Part of the retry budget that stays for attempts that have failed when an attempt first looks silent. */
-const silenceReserveShare = 0.5;
+/** Part of the retry budget that stays for attempts that have failed when a hedge starts or an attempt first looks silent. */
+const initialReserveShare = 0.5;
 
 /**
  * Opens a response to an idempotent request: failed attempts are repeated on other endpoints, and a second attempt
@@ -115,7 +115,7 @@
 		const isHedge = wake.kind === 'hedge';
 		const isPaid = !isHedge || policy?.take();
 		const budget = this.#context.getRetryBudget(match.service.name);
-		if (isPaid && budget.take(budget.capacity * (isHedge ? silenceReserveShare : wake.reserveShare))) {
+		if (isPaid && budget.take(budget.capacity * (isHedge ? initialReserveShare : wake.reserveShare))) {
 			this.#startAttempt(isHedge);
 		}
 	}
@@ -182,7 +182,7 @@
 		}
 
 		const startedAt = this.#context.clock();
-		this.#scheduleSilence(attempt, policy.silenceLimit, silenceReserveShare, () => {
+		this.#scheduleSilence(attempt, policy.silenceLimit, initialReserveShare, () => {
 			// Idle connections as old as the silent one may be lost too; a new one costs about 1 ms.
 			this.#context.connections.get(address).dropOlder(startedAt);
 		});
