refactor(stand-ins): one builder of the operator's configuration, one entry of a server

Change: buildOperatorConfiguration and the optional place of buildEntry in the stand-ins, routedBehaviours in the soak, edgeProgram in the testbed, openSocket and buildHead in the fixture of the edge tests.

--- a/packages/bench/src/experiments/shifting-fleet.ts
+++ b/packages/bench/src/experiments/shifting-fleet.ts
@@ -2,7 +2,7 @@
 import os from 'node:os';
 import path from 'node:path';
 import {
-	ShiftingWork, StandInRoutedEndpoint, StandInRowStore, defaultShiftingWorkOptions,
+	buildOperatorConfiguration, defaultShiftingWorkOptions, ShiftingWork, StandInRoutedEndpoint, StandInRowStore,
 } from '@tanagerrail/stand-ins';
 import {RandomSource} from '../load/index.js';
 import {SoakHost} from '../soak/index.js';
@@ -90,16 +90,12 @@
 			this.#store.put('servers', endpoint.id, endpoint.buildEntry(shiftingService));
 		}
 
-		this.#store.put('op', 'config', {
-			version: 'r1',
+		this.#store.put('op', 'config', buildOperatorConfiguration({
+			revision: 1,
 			routes: [{
-				name: 'route-0', hostname: 'site.example', path_prefix: `/${shiftingService}/`, type: 'safe', timeout_ms: timeoutMilliseconds,
-				target_latency_ms: objectiveMilliseconds, priority: 1, service: shiftingService, max_attempts: 3,
+				path_prefix: `/${shiftingService}/`, service: shiftingService, timeout_ms: timeoutMilliseconds, target_latency_ms: objectiveMilliseconds, max_attempts: 3,
 			}],
-			services: [{name: shiftingService, health_check_path: '/health', max_connections: 200}],
-			limits: {
-				max_header_bytes: 16_384, max_body_bytes: 1_000_000, header_timeout_ms: 3000, idle_timeout_ms: 15_000,
-			},
-		});
+			services: [shiftingService],
+		}));
 	}
 }
--- a/packages/bench/src/soak/soak-endpoint.ts
+++ b/packages/bench/src/soak/soak-endpoint.ts
@@ -1,6 +1,8 @@
 import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
-import {StandInRoutedEndpoint, TcpRelay, type RoutedEndpointRun} from '@tanagerrail/stand-ins';
+import {
+	routedBehaviours, sealHeader, StandInRoutedEndpoint, TcpRelay, type RoutedBehaviour, type RoutedEndpointRun,
+} from '@tanagerrail/stand-ins';
 import type {SoakLedger} from './soak-ledger.js';
 
 /** Usual duration of the work, in milliseconds. */
@@ -11,7 +13,6 @@
 
 const slots = 3;
 const downloadBytes = 120_000;
-const sealHeader = {'x-server-seal': '1.2.3'};
 
 /** How an endpoint ends a request that it has run. */
 export const SoakEnding = {
@@ -21,18 +22,12 @@
 /** One of the endings. */
 export type SoakEnding = typeof SoakEnding[keyof typeof SoakEnding];
 
-type Respond = (run: RoutedEndpointRun, res: ServerResponse, socket: Socket) => void;
-
-const endings: Readonly<Record<SoakEnding, Respond>> = {
+const endings: Readonly<Record<SoakEnding, RoutedBehaviour>> = {
 	serve(run, res) {
 		res.writeHead(200, {'x-attempt-id': run.id, ...sealHeader}).end(buildBody(run));
 	},
-	fail({id}, res) {
-		res.writeHead(500, {'x-attempt-id': id, ...sealHeader}).end('failed');
-	},
-	reset(_, __, socket) {
-		socket.resetAndDestroy();
-	},
+	fail: routedBehaviours.fail,
+	reset: routedBehaviours.reset,
 	cut(run, _, socket) {
 		const body = buildBody(run);
 		socket.end(`HTTP/1.1 200 OK\r\ncontent-length: ${body.length}\r\nx-attempt-id: ${run.id}\r\nx-server-seal: 1.2.3\r\n\r\n${body.slice(0, body.length / 2)}`);
@@ -45,7 +40,7 @@
 			}
 		}, 5);
 	},
-	hang() {/* No response. */},
+	hang: routedBehaviours.hang,
 	unsealed(run, res) {
 		res.writeHead(200, {'x-attempt-id': run.id}).end('unsealed');
 	},
@@ -117,14 +112,7 @@
 	 * @returns The value of the row.
 	 */
 	buildEntry(): object {
-		return {
-			address: this.address,
-			born: this.bornAt,
-			information: {
-				service: this.service, version: 'v1', zone: 'zone-a', slots,
-			},
-			status: {state: this.state, sequence: this.sequence, cold_remaining_ms: 0},
-		};
+		return this.standIn.buildEntry(this.service, {state: this.state, sequence: this.sequence}, {address: this.address, born: this.bornAt});
 	}
 
 	#run(run: RoutedEndpointRun, res: ServerResponse, socket: Socket): void {
@@ -134,7 +122,7 @@
 			id: run.id, endpoint: this.id, service: this.service, at: performance.now(), hasRun, deadlineMilliseconds: run.deadlineMilliseconds, ending,
 		});
 		if (!hasRun) {
-			res.writeHead(503, {'x-not-executed': '1'}).end();
+			routedBehaviours.shed(run, res);
 			return;
 		}
 
--- a/packages/bench/src/soak/soak-fleet.ts
+++ b/packages/bench/src/soak/soak-fleet.ts
@@ -1,7 +1,7 @@
 import fs from 'node:fs';
 import os from 'node:os';
 import path from 'node:path';
-import {StandInRowStore} from '@tanagerrail/stand-ins';
+import {buildOperatorConfiguration, StandInRowStore} from '@tanagerrail/stand-ins';
 import type {RandomSource} from '../load/random-source.js';
 import {DisturbanceLog} from './disturbance-log.js';
 import {SoakEndpoint} from './soak-endpoint.js';
@@ -185,15 +185,12 @@
 		this.#revision += 1 + this.#options.random.drawIndex(3);
 		const standing = Object.entries(soakServices).map(([service, type]) => ({prefix: `/${service}/`, service, type}));
 		const added = this.#addedPrefixes.map(prefix => ({prefix, service: 'reads', type: 'safe'}));
-		this.store.put('op', 'config', {
-			version: `r${this.#revision}`,
-			routes: [...standing, ...added].map(({prefix, service, type}, index) => ({
-				name: `route-${index}`, hostname: 'site.example', path_prefix: prefix, type, timeout_ms: 1500, target_latency_ms: 500, priority: 1, service, max_attempts: 3,
+		this.store.put('op', 'config', buildOperatorConfiguration({
+			revision: this.#revision,
+			routes: [...standing, ...added].map(({prefix, service, type}) => ({
+				path_prefix: prefix, service, type, timeout_ms: 1500, target_latency_ms: 500, max_attempts: 3,
 			})),
-			services: Object.keys(soakServices).map(name => ({name, health_check_path: '/health', max_connections: 200})),
-			limits: {
-				max_header_bytes: 16_384, max_body_bytes: 1_000_000, header_timeout_ms: 3000, idle_timeout_ms: 15_000,
-			},
-		});
+			services: Object.keys(soakServices),
+		}));
 	}
 }
--- a/packages/bench/src/soak/soak-host.ts
+++ b/packages/bench/src/soak/soak-host.ts
@@ -3,12 +3,10 @@
 import {setTimeout as wait} from 'node:timers/promises';
 import {chooseLoopbackHost, TcpRelay} from '@tanagerrail/stand-ins';
 import {stringify} from 'yaml';
-import {ManagedProcess, waitUntil} from '../testbed/index.js';
+import {edgeProgram, ManagedProcess, waitUntil} from '../testbed/index.js';
 import {DisturbanceLog} from './disturbance-log.js';
 import {soakBounds} from './soak-bounds.js';
 
-const programScript = path.resolve(import.meta.dirname, '../../../../cli/dist/src/edge-main.js');
-
 /** Time between two questions whether a host is ready, in milliseconds. */
 const readinessMilliseconds = 200;
 
@@ -100,7 +98,7 @@
 		this.writeSettings();
 		this.#starts += 1;
 		this.#expectsExit = false;
-		const {id, script = programScript} = this.#options;
+		const {id, script = edgeProgram} = this.#options;
 		const child = new ManagedProcess({
 			name: id, args: [script, 'edge', '--settings', this.#settingsFile], logFile: this.logFile, logsOutput: true,
 		});
--- a/packages/bench/src/testbed/index.ts
+++ b/packages/bench/src/testbed/index.ts
@@ -1,5 +1,6 @@
 export * from './build-service.js';
 export * from './choose-entry-addresses.js';
+export * from './edge-program.js';
 export * from './endpoint-group.js';
 export * from './entry-process.js';
 export * from './managed-process.js';
--- a/packages/cli/tests/edge-host.test.ts
+++ b/packages/cli/tests/edge-host.test.ts
@@ -4,7 +4,7 @@
 import {test} from 'tap';
 import {createSlowBehaviour, routedBehaviours, type RoutedBehaviour} from '@tanagerrail/stand-ins';
 import {
-	buildConfiguration, sendRequest, standardRoutes, startEdge, waitFor, type SeenResponse, getStatus,
+	buildConfiguration, buildHead, getStatus, openSocket, sendRequest, standardRoutes, startEdge, waitFor, type SeenResponse,
 } from './fixtures/edge-fixture.js';
 
 test('a request reaches an endpoint of its service unchanged, with the time that is left', async t => {
@@ -296,15 +296,6 @@
 	t.match(body, /tanagerrail_request_duration_milliseconds_bucket/v);
 });
 
-function openSocket(address: string): net.Socket {
-	const [host, port] = address.split(':');
-	return net.connect({host: host!, port: Number(port)});
-}
-
-function buildHead(path: string, id: string): string {
-	return `GET ${path} HTTP/1.1\r\nhost: site.example\r\nx-attempt-id: ${id}\r\nx-deadline-ms: 5000\r\n\r\n`;
-}
-
 /** Sends text and returns what has come back once it holds a number of responses. */
 async function sendText(address: string, text: string, responses: number): Promise<string> {
 	const socket = openSocket(address);
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,3 +1,4 @@
+export * from './build-operator-configuration.js';
 export * from './choose-loopback-host.js';
 export * from './endpoint-behaviour.js';
 export * from './platform-faults.js';
--- a/packages/stand-ins/src/stand-in-routed-endpoint.ts
+++ b/packages/stand-ins/src/stand-in-routed-endpoint.ts
@@ -28,7 +28,8 @@
 	readonly behaviour: RoutedBehaviour;
 };
 
-const sealHeader = {'x-server-seal': '1.2.3'};
+/** Header by which an endpoint marks its own responses. */
+export const sealHeader = {'x-server-seal': '1.2.3'};
 
 /** Ready behaviours of {@link StandInRoutedEndpoint}. */
 export const routedBehaviours = {
@@ -168,12 +169,14 @@
 	 *
 	 * @param service - Name of the service.
 	 * @param status - Fields of its status that differ.
+	 * @param place - Address and time of birth that differ, for an endpoint behind a relay.
 	 * @returns The value of the row.
 	 */
-	buildEntry(service: string, status: Record<string, unknown> = {}): object {
+	buildEntry(service: string, status: Record<string, unknown> = {}, place: {readonly address?: string; readonly born?: number} = {}): object {
 		return {
 			address: this.address,
 			born: 1000,
+			...place,
 			information: {
 				service, version: 'v1', zone: 'zone-a', slots: this.#slots,
 			},
