fix(http): chunks of a body are copied into one buffer

Cause: an exchange kept each chunk of a body as an object of its own until 1 MiB of body had arrived. An answer in chunks of one byte, with or without end, took over 100 MB of heap. The lists of chunks in read-body.ts and serve-keyed.ts had the same fault.

Ruled out: the limit on framing bytes, which chunks of one byte do not exceed and may not, because they are valid.

Change: BodyBuffer copies chunks into one buffer that grows with the body; a streamed body is written in blocks.

--- a/packages/http/src/exchange.ts
+++ b/packages/http/src/exchange.ts
@@ -1,6 +1,7 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
 import type {Dispatcher} from 'undici';
+import {BodyBuffer} from './body-buffer.js';
 import type {Connection, ConnectionPool} from './connection-pool.js';
 import {Deferred} from './deferred.js';
 import type {HeaderFields} from './forwarded-headers.js';
@@ -54,10 +55,14 @@
 
 type ResponseHead = {readonly status: number; readonly headers: IncomingHttpHeaders};
 
+/** Number of body bytes that are collected before they are written; each write of a chunk has a cost of its own. */
+const writeBytes = 16_384;
+
 /** One request and its response over one connection, which is released to its pool when the response ends. */
 export class Exchange {
 	readonly #options: ExchangeOptions;
-	readonly #chunks: Buffer[] = [];
+	/** Body bytes that have been received and neither returned nor written yet. */
+	readonly #body = new BodyBuffer();
 	readonly #result = new Deferred<Result<ExchangeResponse, ExchangeFailure>>();
 	/** Resolves when the body ends, with whether it is complete. */
 	readonly #isBodyComplete = new Deferred<boolean>();
@@ -68,6 +73,7 @@
 	#isEnded = false;
 	#controller: Dispatcher.DispatchController | undefined;
 	#write: WriteChunk | undefined;
+	#isWriteScheduled = false;
 
 	constructor(options: ExchangeOptions) {
 		this.#options = options;
@@ -125,22 +131,46 @@
 		}
 
 		this.#receivedBytes += chunk.length;
+		this.#body.append(chunk);
 		if (this.#write) {
-			this.#forward(chunk);
+			this.#scheduleWrite();
 			return;
 		}
 
-		this.#chunks.push(chunk);
 		if (this.#receivedBytes > this.#options.bufferLimitBytes) {
 			this.#controller?.pause();
 			this.#resolveResponse(false);
 		}
 	}
 
-	/** Forwards a chunk and pauses reading from the endpoint until more can be written. */
-	#forward(chunk: Buffer): void {
-		const drained = this.#write!(chunk);
-		if (drained) {
+	/** Writes a full block of the body at once, and less than that when the bytes that have arrived are parsed. */
+	#scheduleWrite(): void {
+		if (this.#body.length >= writeBytes) {
+			this.#writeCollected();
+			return;
+		}
+
+		if (this.#isWriteScheduled) {
+			return;
+		}
+
+		this.#isWriteScheduled = true;
+		setImmediate(() => {
+			this.#isWriteScheduled = false;
+			if (!this.#isEnded) {
+				this.#writeCollected();
+			}
+		});
+	}
+
+	/** Writes what has been collected and pauses reading from the endpoint until more can be written. */
+	#writeCollected(): void {
+		if (this.#body.length === 0) {
+			return;
+		}
+
+		const drained = this.#write!(this.#body.take());
+		if (drained && !this.#isEnded) {
 			this.#controller?.pause();
 			void this.#resumeAfter(drained);
 		}
@@ -168,6 +198,10 @@
 		}
 
 		this.#isEnded = true;
+		if (this.#write) {
+			this.#writeCollected();
+		}
+
 		if (this.#head?.headers.connection?.toLowerCase() === 'close') {
 			pool.drop(connection);
 		} else if (!keepsConnection) {
@@ -198,16 +232,13 @@
 
 		this.#isSettled = true;
 		this.#result.resolve(ok({
-			...this.#head!, isComplete, body: Buffer.concat(this.#chunks.splice(0)), streamRest: async write => this.#streamRest(write),
+			...this.#head!, isComplete, body: this.#body.take(), streamRest: async write => this.#streamRest(write),
 		}));
 	}
 
 	async #streamRest(write: WriteChunk): Promise<boolean> {
 		this.#write = write;
-		for (const chunk of this.#chunks.splice(0)) {
-			this.#forward(chunk);
-		}
-
+		this.#writeCollected();
 		this.#scheduleResume();
 		return this.#isBodyComplete.promise;
 	}
--- a/packages/http/src/read-body.ts
+++ b/packages/http/src/read-body.ts
@@ -1,6 +1,7 @@
 import type {IncomingMessage} from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
 import {createFailure, type Failure} from '@tanagerrail/results';
+import {BodyBuffer} from './body-buffer.js';
 import {checkFieldGrammar} from './check-grammar.js';
 
 /** Limits of {@link readBody}. */
@@ -28,8 +29,7 @@
 		return ok(undefined);
 	}
 
-	const chunks: Uint8Array[] = [];
-	let length = 0;
+	const body = new BodyBuffer(Number(req.headers['content-length'] ?? 0));
 	return new Promise(resolve => {
 		const finish = (result: Result<Uint8Array | undefined, Failure>) => {
 			clearTimeout(timer);
@@ -41,16 +41,15 @@
 			finish(err(createFailure('request-timeout', {limit: milliseconds})));
 		}, milliseconds);
 		req.on('data', (chunk: Uint8Array) => {
-			length += chunk.length;
-			if (length > bytes) {
+			if (body.length + chunk.length > bytes) {
 				finish(err(createFailure('body-too-large', {limit: bytes})));
 				return;
 			}
 
-			chunks.push(chunk);
+			body.append(chunk);
 		});
 		req.once('end', () => {
-			finish(checkFieldGrammar(req.rawTrailers).map(() => length === 0 ? undefined : Buffer.concat(chunks)));
+			finish(checkFieldGrammar(req.rawTrailers).map(() => body.length === 0 ? undefined : body.take()));
 		});
 		// The events that follow the first one have no effect.
 		for (const event of ['error', 'close']) {
--- a/packages/http/src/serve-keyed.ts
+++ b/packages/http/src/serve-keyed.ts
@@ -7,6 +7,7 @@
 } from '@tanagerrail/results';
 import {AttemptOutcome, notRunOutcomes, type SlotGrant} from '@tanagerrail/routing';
 import {acquireSlot} from './acquire-slot.js';
+import {BodyBuffer} from './body-buffer.js';
 import type {CallerRequest} from './caller-request.js';
 import type {EndpointResponse} from './endpoint-attempt.js';
 import {sendWithGrant} from './send-with-grant.js';
@@ -124,16 +125,16 @@
 }
 
 async function collectOutcome({status, headers, body, contentLength}: EndpointResponse, method: string): Promise<Result<StoredOutcome, Failure>> {
-	const chunks: Uint8Array[] = [];
+	const collected = new BodyBuffer(contentLength);
 	try {
 		for await (const chunk of body as AsyncIterable<Uint8Array>) {
-			chunks.push(chunk);
+			collected.append(chunk);
 		}
 	} catch {
 		return err(createFailure('outcome-unknown'));
 	}
 
-	const wholeBody = Buffer.concat(chunks);
+	const wholeBody = collected.take();
 	if (contentLength !== undefined && wholeBody.length !== contentLength && !hasNoBody(status, method)) {
 		return err(createFailure('outcome-unknown'));
 	}
