fix(http): a closed connection is read until its caller has closed it too

Cause: after a response with `connection: close`, Node.js closes the whole socket. A request that crosses the close is answered by a reset, and the reset discards what has not reached the caller. The exit of the process did the same, and so did the close after a refusal of invalid input.

Ruled out: requests accepted too late (those that cross the close are not run), and the length of the grace period.

Change: closeAfterDelivery closes the sending side and discards what arrives until the caller closes, for 3 s at most; hosts that stop wait for that within their shutdown time and log how many callers had not closed. A refusal that closes its connection ignores the requests behind an incomplete body.

--- a/packages/cli/src/edge-host.ts
+++ b/packages/cli/src/edge-host.ts
@@ -130,7 +130,8 @@
 		this.#listener.abortRequests();
 		await this.#waitForRequests(endsAt);
 
-		logger.log(LogLevel.info, 'host-stopped', {cutOff: this.#listener.inProgress, milliseconds: Math.round(clock() - startedAt)});
+		const {inProgress: cutOff, connectionsAwaitingClose: unconfirmed} = this.#listener;
+		logger.log(LogLevel.info, 'host-stopped', {cutOff, unconfirmed, milliseconds: Math.round(clock() - startedAt)});
 		this.close();
 	}
 
@@ -145,11 +146,12 @@
 	}
 
 	/**
-	 * Waits until no request is in progress and no connection awaits its first request, but no longer than until the given
-	 * monotonic time in milliseconds.
+	 * Waits until no request is in progress, no connection awaits its first request and all callers have received their last
+	 * response, but no longer than until the given monotonic time in milliseconds.
 	 */
 	async #waitForRequests(until: number): Promise<void> {
-		while (this.#listener.inProgress + this.#listener.connectionsAwaitingRequest > 0 && clock() < until) {
+		const listener = this.#listener;
+		while (listener.inProgress + listener.connectionsAwaitingRequest + listener.connectionsAwaitingClose > 0 && clock() < until) {
 			await wait(10);
 		}
 	}
--- a/packages/cli/src/entry-host.ts
+++ b/packages/cli/src/entry-host.ts
@@ -176,7 +176,7 @@
 		await waitMilliseconds(lameDuckMilliseconds);
 		this.#listener.stop();
 		let loggedAt = clock();
-		while (this.#listener.inProgress > 0 && clock() - startedAt < shutdownMilliseconds) {
+		while (this.#listener.inProgress + this.#listener.connectionsAwaitingClose > 0 && clock() - startedAt < shutdownMilliseconds) {
 			await waitMilliseconds(10);
 			if (clock() - loggedAt >= 1000) {
 				loggedAt = clock();
--- a/packages/http/src/caller-listener.ts
+++ b/packages/http/src/caller-listener.ts
@@ -5,6 +5,7 @@
 } from '@tanagerrail/results';
 import {createLogger, LogLevel, type Clock} from '@tanagerrail/telemetry';
 import {checkRequestGrammar} from './check-grammar.js';
+import {closeAfterDelivery, lingerMilliseconds} from './close-after-delivery.js';
 import {createListenerServer} from './create-listener-server.js';
 import {defaultRequestLimits, type RequestLimits} from './request-limits.js';
 import {AbortReason, type ReceivedRequest, type RequestReceiver} from './request-receiver.js';
@@ -44,6 +45,8 @@
 	isRefused: boolean;
 	/** Response to the latest request. */
 	lastResponse: ServerResponse | undefined;
+	/** Monotonic time at which a response was last written to the connection in full, in milliseconds. */
+	respondedAt: number;
 	/** Whether the connection closes once its pending responses are sent; requests that arrive later are ignored. */
 	isClosing: boolean;
 };
@@ -93,6 +96,12 @@
 		return [...this.#connections.values()].filter(state => this.#isAwaitingFirstRequest(state)).length;
 	}
 
+	/** Open connections whose last response may not have reached the caller yet; the caller confirms that it has by closing. */
+	get connectionsAwaitingClose(): number {
+		const now = this.#options.clock();
+		return [...this.#connections.values()].filter(({respondedAt}) => now - respondedAt < lingerMilliseconds).length;
+	}
+
 	/**
 	 * Starts to listen.
 	 *
@@ -155,6 +164,7 @@
 		const state = this.#getState(req.socket);
 		state.hasReceivedRequest = true;
 		if (state.isClosing || this.#closeAfterLastResponse(state)) {
+			req.resume();
 			return;
 		}
 
@@ -163,7 +173,7 @@
 		const controller = this.#trackRequest(state, res);
 		const beforeHead = () => {
 			// The connection is not closed while later responses are pending on it, because they would be lost.
-			if (this.#isDraining && state.requests.size === 1) {
+			if (!req.complete || (this.#isDraining && state.requests.size === 1)) {
 				state.isClosing = true;
 				res.setHeader('connection', 'close');
 			}
@@ -214,6 +224,7 @@
 		state.requests.add(controller);
 		res.once('close', () => {
 			this.#endRequest(state, controller);
+			state.respondedAt = this.#options.clock();
 			if (!res.writableFinished) {
 				controller.abort(AbortReason.callerDisconnected);
 			}
@@ -246,7 +257,6 @@
 		res.writeHead(details.status, {
 			'content-type': problemMediaType, 'content-length': Buffer.byteLength(body), 'tanagerrail-outcome': getOutcome(failure),
 			...this.#options.receiver.buildRefusalHeaders(failure),
-			...(res.req.complete ? {} : {connection: 'close'}),
 		});
 		res.end(body);
 	}
@@ -258,9 +268,21 @@
 		}
 
 		const state: ConnectionState = {
-			openedAt: this.#options.clock(), requests: new Set(), hasReceivedRequest: false, dispatchedRequests: 0, lastResponse: undefined, isRefused: false, isClosing: false,
+			openedAt: this.#options.clock(),
+			requests: new Set(),
+			hasReceivedRequest: false,
+			dispatchedRequests: 0,
+			lastResponse: undefined,
+			respondedAt: -Infinity,
+			isRefused: false,
+			isClosing: false,
 		};
 		this.#connections.set(socket, state);
+		// The HTTP server calls this after the last response of a connection.
+		socket.destroySoon = () => {
+			closeAfterDelivery(socket);
+		};
+
 		// Node.js emits no close event on responses that are queued behind an earlier one.
 		socket.once('close', () => {
 			this.#connections.delete(socket);
@@ -278,7 +300,13 @@
 	 */
 	#refuseConnection({code = ''}: NodeJS.ErrnoException, socket: Socket): void {
 		const state = this.#getState(socket);
+		const isClosed = state.isRefused || socket.writableEnded;
 		state.isRefused = true;
+		// What arrives after the close is discarded, whether it is valid or not.
+		if (isClosed && code !== 'ECONNRESET') {
+			return;
+		}
+
 		if (code === 'ECONNRESET' || !socket.writable || state.dispatchedRequests > 0 || state.requests.size > 1) {
 			socket.destroy();
 			return;
@@ -293,10 +321,10 @@
 		this.#options.receiver.countRefusal(failure);
 		const details = buildProblemDetails(failure);
 		const body = JSON.stringify(details);
-		socket.end(`HTTP/1.1 ${details.status} Refused\r\ncontent-type: ${problemMediaType}\r\ncontent-length: ${Buffer.byteLength(body)}\r\n`
-			+ `tanagerrail-outcome: ${details.outcome}\r\nconnection: close\r\n\r\n${body}`, () => {
-			socket.destroy();
-		});
+		socket.write(`HTTP/1.1 ${details.status} Refused\r\ncontent-type: ${problemMediaType}\r\ncontent-length: ${Buffer.byteLength(body)}\r\n`
+			+ `tanagerrail-outcome: ${details.outcome}\r\nconnection: close\r\n\r\n${body}`);
+
+		closeAfterDelivery(socket);
 	}
 
 	/** Closes a connection on which no response is pending, after flushing what is still being sent. */
@@ -304,7 +332,7 @@
 		if (state.requests.size === 0 && !this.#isAwaitingFirstRequest(state)) {
 			// A request that arrives after the FIN was sent is not served, so its caller may safely send it again.
 			state.isClosing = true;
-			socket.end();
+			closeAfterDelivery(socket);
 		}
 	}
 
