fix(http): a response counts only with the id of its request

Callers got 503 with the promise "not run" for payments that an endpoint ran, and some of these ran twice.

Cause: a response without an id was believed if it was no success. A late copy of a rejection without an id, or of a health answer 503, became the answer to the next request on its connection: as proof that it had not run, or as a failure with a promising status.

Whether this is all that the users saw is not known.

Change: without the id of the request a response ends the attempt as lost (result 3007, 502) and closes the connection. A refusal without an id still counts, and its connection is closed, also after a health check. For work that may run once, a status that promises "not run" without the mark of a refusal becomes 502. The log of a failed attempt has the status of the response.

The stand-in endpoint returns the id with its refusals, as the platform's protocol says; refusals without it are a behaviour of their own.

--- a/packages/http/src/endpoint-attempt.ts
+++ b/packages/http/src/endpoint-attempt.ts
@@ -88,6 +88,11 @@
 		});
 		if (statusCode === 503 && headers['tanagerrail-outcome'] === Outcome.notRun) {
 			await body.dump();
+			// A second copy of a refusal without an id could later be taken for the refusal of another request.
+			if (response.headers[attemptIdHeader] === undefined) {
+				pool.drop(connection);
+			}
+
 			return err({outcome: AttemptOutcome.refused, failure: createFailure('endpoint-refused', {endpoint: endpointId})});
 		}
 
--- a/packages/http/src/probe-client.ts
+++ b/packages/http/src/probe-client.ts
@@ -82,7 +82,7 @@
 		}
 
 		const {status, headers, isComplete} = result.value;
-		const {isHealthy, endpointId, requestId, report} = protocol.readProbe(status, headers);
+		const {isHealthy, endpointId, requestId, isNotRun, report} = protocol.readProbe(status, headers);
 		// A response to an earlier request means that requests and responses no longer match on this connection.
 		if (requestId !== undefined || !isComplete) {
 			exchange.abort();
@@ -90,7 +90,8 @@
 			return undefined;
 		}
 
-		const held = isPersistent(headers) ? createHeldConnection(pool, connection) : undefined;
+		// A second copy of a refusal without an id could later be taken for the refusal of a request.
+		const held = isPersistent(headers) && !isNotRun ? createHeldConnection(pool, connection) : undefined;
 		if (!held) {
 			pool.drop(connection);
 		}
--- a/packages/http/src/read-attempt-end.ts
+++ b/packages/http/src/read-attempt-end.ts
@@ -1,3 +1,4 @@
+import {Repetition} from '@tanagerrail/configuration';
 import {createFailure, type Failure} from '@tanagerrail/results';
 import type {DirectoryEndpoint} from '@tanagerrail/routing';
 import type {Exchange} from './exchange.js';
@@ -24,6 +25,8 @@
 	readonly end: AttemptEnd;
 	/** The endpoint's response, if it may be forwarded. */
 	readonly response?: RoutedResponse;
+	/** Status of the response, if there was one. */
+	readonly status?: number;
 	readonly failure: Failure;
 };
 
@@ -40,6 +43,9 @@
 /** Lowest status that counts as a failure of the endpoint. */
 const firstServerError = 500;
 
+/** Statuses with which a caller is told that its request has not run and never will. */
+const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
 /**
  * Waits for the end of an attempt and decides whether its response may be forwarded.
  *
@@ -63,15 +69,26 @@
 	}
 
 	const isSuccess = response.status < 300;
-	const isForOtherRequest = metadata.requestId !== request.id && (isSuccess || metadata.requestId !== undefined);
-	// A response to another request, or one that was altered on the way, is not forwarded.
-	if (isForOtherRequest || (isSuccess && !metadata.isGenuine)) {
+	const hasId = metadata.requestId === request.id;
+	const isRefusalWithoutId = metadata.isNotRun && metadata.requestId === undefined && !isSuccess;
+	const isGenuine = hasId && (metadata.isGenuine || !isSuccess);
+	if (!isGenuine) {
+		// More bytes that belong to no request may follow. A second copy of a refusal without an id could not be told from a refusal of the next request.
 		exchange.drop();
-		return {end: AttemptEnd.lost, failure: createFailure('answer-incomplete', parameters)};
+	}
+
+	// A response to another request or to a probe, or one that was altered on the way, is not forwarded.
+	if (!isGenuine && !isRefusalWithoutId) {
+		return {end: AttemptEnd.lost, failure: createFailure('answer-unidentified', parameters), status: response.status};
 	}
 
 	if (metadata.isNotRun) {
-		return {end: AttemptEnd.notRun, failure: createFailure('endpoint-refused', parameters)};
+		return {end: AttemptEnd.notRun, failure: createFailure('endpoint-refused', parameters), status: response.status};
+	}
+
+	if (notRunStatuses.has(response.status) && request.route.repetition === Repetition.once) {
+		// The endpoint does not guarantee what the status would promise to the caller.
+		return {end: AttemptEnd.failed, failure: createFailure('endpoint-lost', parameters), status: response.status};
 	}
 
 	if (isSuccess && response.isComplete) {
@@ -86,5 +103,7 @@
 		},
 	};
 	const end = response.status >= firstServerError ? AttemptEnd.failed : AttemptEnd.answered;
-	return {end, response: routedResponse, failure: createFailure('endpoint-lost', parameters)};
+	return {
+		end, response: routedResponse, failure: createFailure('endpoint-lost', parameters), status: response.status,
+	};
 }
--- a/packages/http/src/record-attempt-end.ts
+++ b/packages/http/src/record-attempt-end.ts
@@ -22,7 +22,7 @@
  *
  * @param attempt - The attempt and how it ended.
  */
-export function recordAttemptEnd({request, context, selection: {endpoint, record}, ended: {end, failure}, startedAt}: RecordedAttempt): void {
+export function recordAttemptEnd({request, context, selection: {endpoint, record}, ended: {end, failure, status}, startedAt}: RecordedAttempt): void {
 	const {clock, meter, crashDetector} = context;
 	const {id, service} = request;
 	const now = clock();
@@ -39,6 +39,7 @@
 
 	record.recordFailure(now);
 	logger.log(LogLevel.info, 'attempt-failed', {
-		request: id, endpoint: endpoint.id, end, failure: failure.id, milliseconds: Math.round(now - startedAt), failureShare: Number(record.computeFailureShare(now).toFixed(2)),
+		request: id, endpoint: endpoint.id, end, failure: failure.id, ...(status !== undefined && {status}), milliseconds: Math.round(now - startedAt),
+		failureShare: Number(record.computeFailureShare(now).toFixed(2)),
 	});
 }
--- a/packages/results/src/result-codes.ts
+++ b/packages/results/src/result-codes.ts
@@ -80,6 +80,9 @@
 	'answer-incomplete': {
 		number: 3005, status: 502, outcome: Outcome.unknown, message: 'The response of endpoint {endpoint} is incomplete.',
 	},
+	'answer-unidentified': {
+		number: 3007, status: 502, outcome: Outcome.unknown, message: 'Endpoint {endpoint} sent a response that cannot be matched to the request.',
+	},
 	'retry-budget-empty': {
 		number: 3006, status: 503, outcome: Outcome.unknown, message: 'The retry budget of service {service} is exhausted.',
 	},
--- a/packages/stand-ins/src/stand-in-routed-endpoint.ts
+++ b/packages/stand-ins/src/stand-in-routed-endpoint.ts
@@ -38,7 +38,11 @@
 		res.writeHead(200, {'x-attempt-id': id, ...sealHeader}).end(`ran ${target}`);
 	},
 	/** Refuses the request without processing it. */
-	shed(_, res) {
+	shed({id}, res) {
+		res.writeHead(503, {'x-not-executed': '1', 'x-attempt-id': id}).end();
+	},
+	/** Refuses the request without processing it and without the id of the request. */
+	shedWithoutId(_, res) {
 		res.writeHead(503, {'x-not-executed': '1'}).end();
 	},
 	/** Processes the request, but resets the connection instead of sending the response. */
@@ -104,6 +108,27 @@
 	};
 }
 
+/** Path of health checks. */
+const healthPath = '/health';
+
+/**
+ * Sends a second copy of a response late: at the point where the response to the next request on the connection is due. Health
+ * checks in between get their own responses.
+ *
+ * @param socket - The connection.
+ * @param copy - The response as text.
+ */
+export function sendLateCopy(socket: Socket, copy: string): void {
+	const handleData = (chunk: Uint8Array) => {
+		if (!Buffer.from(chunk).toString('latin1').startsWith(`GET ${healthPath} `)) {
+			socket.off('data', handleData);
+			socket.write(copy);
+		}
+	};
+
+	socket.on('data', handleData);
+}
+
 /** Stand-in for a server behind the platform: health checks, load reports and requests, with faults on demand. */
 export class StandInRoutedEndpoint {
 	readonly id: string;
@@ -123,6 +148,8 @@
 	inFlightCount = 0;
 	/** Number of health checks received. */
 	probeCount = 0;
+	/** Responds to health checks in place of the endpoint, to cause a fault. */
+	respondToProbe: ((res: ServerResponse, socket: Socket) => void) | undefined;
 	readonly #slots: number;
 	readonly #sockets = new Set<Socket>();
 	readonly #server: Server;
@@ -194,8 +221,13 @@
 	}
 
 	async #handleRequest(req: IncomingMessage, res: ServerResponse): Promise<void> {
-		if (req.url === '/health') {
+		if (req.url === healthPath) {
 			this.probeCount += 1;
+			if (this.respondToProbe) {
+				this.respondToProbe(res, req.socket);
+				return;
+			}
+
 			res.writeHead(this.isHealthy ? 200 : 503, {'x-instance-id': this.healthId, ...(this.reportsLoad && {'x-server-load': this.#loadHeader})}).end();
 			return;
 		}
