feat(routing): endpoints that announce their leaving, or ask for a pause, get no requests

Callers' requests reached servers that had said in their answers that they leave (`Server-Leaving: 1`), or that had asked for quiet with `Retry-After` on a 503. Neither header was read.

Cause: only the registry told which endpoints leave, and a refusal only counted as a failure of its endpoint.

Change: EndpointAvailability remembers the notice of each start of an endpoint, and the selector asks it before and after its probes. If all endpoints of a service leave, they are used for half of the drain time; if all have asked for a pause, the caller is refused at once with the first end, spread.

--- a/packages/cli/src/edge-host.ts
+++ b/packages/cli/src/edge-host.ts
@@ -4,7 +4,9 @@
 import {
 	CallerListener, CrashDetector, defaultRequestLimits, EndpointConnections, ProbeClient, RoutedReceiver, ServiceProfiles, type HeldConnection, type RoutedRequest,
 } from '@tanagerrail/http';
-import {AttemptBudget, EndpointSelector, ProbeBudget} from '@tanagerrail/routing';
+import {
+	AttemptBudget, EndpointAvailability, EndpointSelector, ProbeBudget,
+} from '@tanagerrail/routing';
 import {
 	createLogger, LogLevel, readMonotonicClock, PrometheusMetrics,
 } from '@tanagerrail/telemetry';
@@ -28,6 +30,12 @@
 /** Share of the permitted probe rate (`probesPerSecond` per endpoint) that all hosts together use. */
 const usableProbeShare = 0.6;
 
+/** Share of the drain time for which a leaving endpoint may still get requests while its service has no other endpoint. */
+const leavingUseShare = 0.5;
+
+/** Log events of the notices of endpoints. */
+const noticeEvents = {leaving: 'endpoint-leaving', paused: 'endpoint-paused'} as const;
+
 /** Forwards callers' requests to the endpoints that are registered in the platform's store. */
 export class EdgeHost {
 	#settings: EdgeSettings;
@@ -36,6 +44,17 @@
 		clock, connections: 64, connectTimeout: 250, idleTimeout: 30_000,
 	});
 
+	readonly #availability = new EndpointAvailability({
+		clock,
+		getLeavingMilliseconds: () => leavingUseShare * this.#settings.bounds.drainMilliseconds,
+		onChange: ({endpoint: {id, service, startedAt}, kind, milliseconds}) => {
+			this.#metrics.countNotice(service, kind);
+			logger.log(LogLevel.info, noticeEvents[kind], {
+				endpoint: id, service, startedAt, ...(kind === 'paused' && {milliseconds: Math.round(milliseconds)}),
+			});
+		},
+	});
+
 	readonly #retryBudgets = new Map<string, AttemptBudget>();
 	readonly #selector: EndpointSelector<HeldConnection>;
 	readonly #crashDetector: CrashDetector;
@@ -69,10 +88,12 @@
 			tracker: this.#platform.crashes,
 			sendProbe: async endpoint => probes.probe(endpoint),
 			takeProbe: service => probeBudget.take(service),
+			isAvailable: endpoint => this.#availability.isAvailable(endpoint),
 		});
 		this.#selector = new EndpointSelector({
 			clock,
 			failureDomain: settings.host.failureDomain,
+			availability: this.#availability,
 			listEndpoints: service => this.#platform.directory.list(service),
 			sendProbe: async endpoint => probes.probe(endpoint),
 			takeProbe: service => probeBudget.take(service),
@@ -181,7 +202,7 @@
 
 	#handleEndpointChanges(): void {
 		const {all} = this.#platform.directory;
-		this.#selector.dropRecordsExcept(new Set(all.map(({id}) => id)));
+		this.#selector.dropRecordsExcept(all);
 		this.#connections.dropUnused(new Set(all.map(({address}) => address)));
 		this.#logReadiness();
 	}
--- a/packages/http/src/crash-detector.ts
+++ b/packages/http/src/crash-detector.ts
@@ -18,6 +18,8 @@
 	readonly sendProbe: SendProbe<HeldConnection>;
 	/** Takes one probe from the probe budget of a service; false when none is left. */
 	readonly takeProbe: (service: string) => boolean;
+	/** Whether an endpoint may be probed. */
+	readonly isAvailable: (endpoint: DirectoryEndpoint) => boolean;
 };
 
 /** Detects requests that crash the endpoints that run them, on whichever host they arrive. */
@@ -60,8 +62,8 @@
 	 * @param startedAt - Monotonic time at which the attempt started, in milliseconds.
 	 */
 	async checkLoss(request: RoutedRequest, endpoint: DirectoryEndpoint, startedAt: number): Promise<void> {
-		const {tracker, sendProbe, takeProbe} = this.#options;
-		if (!takeProbe(request.service)) {
+		const {tracker, sendProbe, takeProbe, isAvailable} = this.#options;
+		if (!isAvailable(endpoint) || !takeProbe(request.service)) {
 			return;
 		}
 
--- a/packages/http/src/endpoint-protocol.ts
+++ b/packages/http/src/endpoint-protocol.ts
@@ -1,5 +1,5 @@
 import type {IncomingHttpHeaders} from 'node:http';
-import type {EndpointReport, DirectoryEndpoint} from '@tanagerrail/routing';
+import type {DirectoryEndpoint, EndpointNotice, EndpointReport} from '@tanagerrail/routing';
 import type {HeaderFields} from './forwarded-headers.js';
 
 /** Information from the headers of an endpoint's response. */
@@ -11,6 +11,7 @@
 	/** Whether the response comes from the endpoint itself and was not altered on the way. */
 	readonly isGenuine: boolean;
 	readonly report: EndpointReport | undefined;
+	readonly notice: EndpointNotice;
 };
 
 /** Information from the headers of a probe response. */
@@ -24,6 +25,7 @@
 	/** Whether the endpoint refused to run the probe. */
 	readonly isNotRun: boolean;
 	readonly report: EndpointReport | undefined;
+	readonly notice: EndpointNotice;
 };
 
 /** A request that is about to be sent to an endpoint. */
--- a/packages/http/src/endpoint-wait.ts
+++ b/packages/http/src/endpoint-wait.ts
@@ -47,6 +47,16 @@
 		return this.#options.context.clock() >= this.#plan.endAt;
 	}
 
+	/**
+	 * Tells whether the request may not wait as long as that.
+	 *
+	 * @param milliseconds - Time from now, in milliseconds.
+	 * @returns Whether its wait is over before.
+	 */
+	isOverWithin(milliseconds: number): boolean {
+		return this.#options.context.clock() + milliseconds >= this.#plan.endAt;
+	}
+
 	/** Whether others that precede this request have just looked for an endpoint in vain, so that its probes would repeat theirs. */
 	get isBehindOthers(): boolean {
 		const now = this.#options.context.clock();
--- a/packages/http/src/probe-client.ts
+++ b/packages/http/src/probe-client.ts
@@ -82,7 +82,9 @@
 		}
 
 		const {status, headers, isComplete} = result.value;
-		const {isHealthy, endpointId, requestId, isNotRun, report} = protocol.readProbe(status, headers);
+		const {
+			isHealthy, endpointId, requestId, isNotRun, report, notice,
+		} = protocol.readProbe(status, headers);
 		// A response to an earlier request means that requests and responses no longer match on this connection.
 		if (requestId !== undefined || !isComplete) {
 			exchange.abort();
@@ -100,7 +102,9 @@
 			return {status: ProbeStatus.replaced, report: undefined, connection: held};
 		}
 
-		return {status: isHealthy ? ProbeStatus.healthy : ProbeStatus.unhealthy, report, connection: held};
+		return {
+			status: isHealthy ? ProbeStatus.healthy : ProbeStatus.unhealthy, report, notice, connection: held,
+		};
 	}
 }
 
--- a/packages/http/src/read-attempt-end.ts
+++ b/packages/http/src/read-attempt-end.ts
@@ -43,6 +43,9 @@
 /** Lowest status that counts as a failure of the endpoint. */
 const firstServerError = 500;
 
+/** Status of another endpoint that has taken over the address. */
+const misdirectedStatus = 421;
+
 /** Statuses with which a caller is told that its request has not run and never will. */
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
@@ -64,6 +67,10 @@
 	const response = result.value;
 	const {endpoints, selector, profiles, clock} = context;
 	const metadata = endpoints.readResponse(response.status, response.headers);
+	if (response.status !== misdirectedStatus) {
+		selector.recordNotice(endpoint, metadata.notice);
+	}
+
 	if (metadata.report) {
 		selector.updateReport(endpoint, metadata.report);
 	}
--- a/packages/http/src/routed-attempts.ts
+++ b/packages/http/src/routed-attempts.ts
@@ -179,11 +179,12 @@
 	}
 
 	/** Retries the selection while there is still time to send the request. */
-	#handleSelectionRefusal({kind, probes, milliseconds}: SelectionRefusal): Result<RoutedResponse, Failure> | undefined {
+	#handleSelectionRefusal({kind, probes, milliseconds, pauseMilliseconds}: SelectionRefusal): Result<RoutedResponse, Failure> | undefined {
 		const {service, arrivedAt, id} = this.#request;
 		const waited = this.#context.clock() - arrivedAt;
 		// A request that has tried all endpoints would only hold up the others.
-		const isWaiting = !this.#wait.isOver && (kind !== 'none' || this.#triedEndpoints.size === 0);
+		const isPaused = pauseMilliseconds !== undefined && this.#wait.isOverWithin(pauseMilliseconds);
+		const isWaiting = !this.#wait.isOver && !isPaused && (kind !== 'none' || this.#triedEndpoints.size === 0);
 		// Logged only when the wait begins and when it ends without an endpoint, because lines in between would add nothing.
 		if (this.#selectionCount === 1 || !isWaiting) {
 			logger.log(LogLevel.info, 'endpoint-missing', {
@@ -196,6 +197,10 @@
 			return undefined;
 		}
 
+		if (isPaused && !this.#mayHaveRun) {
+			return err(createFailure('service-paused', {service, milliseconds: Math.ceil(pauseMilliseconds)}));
+		}
+
 		return this.#lastEnded ? this.#buildResult() : err(createFailure(kind === 'none' ? 'no-endpoint' : 'no-free-slot', {service}));
 	}
 
--- a/packages/http/src/routed-receiver.ts
+++ b/packages/http/src/routed-receiver.ts
@@ -20,6 +20,18 @@
 /** Value of `Retry-After` on the refusal of a request that crashes endpoints, in milliseconds; its crashes are kept as long. */
 const quarantineMilliseconds = defaultQuarantineOptions.retentionMilliseconds;
 
+/** Share of a pause over which the callers that were refused because of it are spread when they return. */
+const returnSpreadShare = 0.25;
+
+/** Value of `Retry-After` on refusals for which the default is wrong, in milliseconds. */
+const retryAfterByFailure: Partial<Record<Failure['id'], (failure: Failure) => number>> = {
+	quarantined: () => quarantineMilliseconds,
+	'service-paused'({parameters: {milliseconds}}) {
+		const pause = Number(milliseconds);
+		return Math.ceil(pause + (Math.random() * Math.max(retryAfterMilliseconds, returnSpreadShare * pause)));
+	},
+};
+
 /** Receives requests that are routed by host name and path prefix. */
 export class RoutedReceiver implements RequestReceiver<RoutedRequest> {
 	readonly #context: RoutedContext;
@@ -89,9 +101,9 @@
 		return served.map(() => undefined);
 	}
 
-	buildRefusalHeaders({id}: Failure): Record<string, string> {
-		const {status} = resultCodes[id];
-		const milliseconds = id === 'quarantined' ? quarantineMilliseconds : retryAfterMilliseconds;
+	buildRefusalHeaders(failure: Failure): Record<string, string> {
+		const {status} = resultCodes[failure.id];
+		const milliseconds = retryAfterByFailure[failure.id]?.(failure) ?? retryAfterMilliseconds;
 		return status === 503 || status === 429 ? {'retry-after': String(milliseconds / 1000)} : {};
 	}
 
--- a/packages/results/src/result-codes.ts
+++ b/packages/results/src/result-codes.ts
@@ -65,6 +65,9 @@
 	'grant-expired': {
 		number: 2008, status: 503, outcome: Outcome.notRun, message: 'The grant was not used in time.',
 	},
+	'service-paused': {
+		number: 2009, status: 503, outcome: Outcome.notRun, message: 'All endpoints of service {service} have asked for a pause, which ends in {milliseconds} ms at the earliest.',
+	},
 	'endpoint-refused': {
 		number: 3001, status: 503, outcome: Outcome.notRun, message: 'Endpoint {endpoint} refused the request without running it.',
 	},
--- a/packages/routing/src/endpoint-selector.ts
+++ b/packages/routing/src/endpoint-selector.ts
@@ -1,4 +1,5 @@
 import {CapacityQueue} from './capacity-queue.js';
+import {EndpointAvailability, type AvailableEndpoints, type EndpointNotice} from './endpoint-availability.js';
 import type {DirectoryEndpoint} from './endpoint-directory.js';
 import {defaultEndpointRaterOptions, EndpointRater, type EndpointRaterOptions} from './endpoint-rater.js';
 import type {EndpointRecord, EndpointReport} from './endpoint-record.js';
@@ -12,6 +13,8 @@
 	readonly sendProbe: SendProbe<C>;
 	/** Takes one probe from the probe budget of a service; false when none is left. */
 	readonly takeProbe: (service: string) => boolean;
+	/** Which endpoints are leaving or have asked for a pause. */
+	readonly availability: EndpointAvailability;
 	/** Whether this host has an open, idle connection to the endpoint. */
 	readonly isConnected: (endpoint: DirectoryEndpoint) => boolean;
 	/** Returns a random number from 0 to below 1. */
@@ -100,8 +103,8 @@
 	/** Requests that wait for capacity, by service. */
 	readonly #queues = new Map<string, CapacityQueue>();
 
-	constructor(options: Partial<EndpointSelectorOptions<C>> & Omit<EndpointSelectorOptions<C>, keyof typeof defaultEndpointSelectorOptions>) {
-		this.#options = {...defaultEndpointSelectorOptions, ...options};
+	constructor(options: Partial<EndpointSelectorOptions<C>> & Omit<EndpointSelectorOptions<C>, keyof typeof defaultEndpointSelectorOptions | 'availability'>) {
+		this.#options = {availability: new EndpointAvailability({clock: options.clock}), ...defaultEndpointSelectorOptions, ...options};
 		this.#rater = new EndpointRater(options);
 	}
 
@@ -118,10 +121,21 @@
 	/**
 	 * Drops the records of endpoints that no longer exist.
 	 *
-	 * @param ids - Ids of the endpoints that exist.
+	 * @param endpoints - The endpoints that exist.
 	 */
-	dropRecordsExcept(ids: ReadonlySet<string>): void {
-		this.#rater.dropRecordsExcept(ids);
+	dropRecordsExcept(endpoints: readonly DirectoryEndpoint[]): void {
+		this.#rater.dropRecordsExcept(new Set(endpoints.map(({id}) => id)));
+		this.#options.availability.dropRecordsExcept(endpoints);
+	}
+
+	/**
+	 * Records what an endpoint asked for with a response.
+	 *
+	 * @param endpoint - The endpoint.
+	 * @param notice - The notice.
+	 */
+	recordNotice(endpoint: DirectoryEndpoint, notice: EndpointNotice): void {
+		this.#options.availability.recordNotice(endpoint, notice);
 	}
 
 	/**
@@ -134,7 +148,8 @@
 		const {clock, goodRating} = this.#options;
 		const now = clock();
 		this.#rater.getRecord(endpoint).updateReport(report, now, now - responseTravelMilliseconds);
-		if (this.#rater.computeLoadRating(endpoint) <= spareCapacityRating && !this.#rater.hasNoFreeSlot(endpoint)) {
+		const hasSpareCapacity = this.#rater.computeLoadRating(endpoint) <= spareCapacityRating && !this.#rater.hasNoFreeSlot(endpoint);
+		if (hasSpareCapacity && this.#options.availability.isAvailable(endpoint)) {
 			this.#queues.get(endpoint.service)?.notifyFirst(now, endpoint.id);
 		}
 	}
@@ -195,13 +210,17 @@
 		});
 	}
 
+	#findAvailable(service: string): AvailableEndpoints {
+		return this.#options.availability.findAvailable(this.#options.listEndpoints(service));
+	}
+
 	/** Lists the local and the remote endpoints, each sorted by expected rating, best first. */
 	#sortEndpoints(request: SelectionRequest): [local: DirectoryEndpoint[], remote: DirectoryEndpoint[]] {
 		const {clock, random, failureDomain, isConnected} = this.#options;
 		const {service, excluded} = request;
 		const now = clock();
 		const scores = new Map<string, number>();
-		const endpoints = this.#options.listEndpoints(service).filter(({id}) => !excluded.has(id));
+		const endpoints = this.#findAvailable(service).endpoints.filter(({id}) => !excluded.has(id));
 		for (const endpoint of endpoints) {
 			const expected = this.#rater.computeExpectedRating(endpoint, request);
 			const isAvoided = this.#rater.getRecord(endpoint).isAvoided(now);
@@ -246,7 +265,11 @@
 	async #probe(endpoint: DirectoryEndpoint, request: SelectionRequest): Promise<Candidate<C> | undefined> {
 		const {clock, sendProbe} = this.#options;
 		const requestedAt = clock();
-		const {status, report, connection} = await sendProbe(endpoint);
+		const {status, report, notice, connection} = await sendProbe(endpoint);
+		if (notice) {
+			this.recordNotice(endpoint, notice);
+		}
+
 		const record = this.#rater.getRecord(endpoint);
 		const now = clock();
 		if (report) {
@@ -320,9 +343,13 @@
 	/** Selects the best candidate and releases the connections of all others. */
 	#finishSelection(candidates: Array<Candidate<C>>, round: SelectionRound<C>): Selection<C> | SelectionRefusal {
 		const {request, probes, milliseconds, endpoints, late} = round;
-		const hasHealthy = findBest(candidates) !== undefined;
-		const lastResort = hasHealthy ? undefined : this.#findLastResort(candidates, late);
-		const chosen = lastResort ? this.#listSelectable([lastResort], request, endpoints).at(0) : findBest(this.#listSelectable(candidates, request, endpoints));
+		const {endpoints: available, pauseMilliseconds} = this.#findAvailable(request.service);
+		const availableIds = new Set(available.map(({id}) => id));
+		// An endpoint may have asked for a pause, or announced that it is leaving, with its response to a probe.
+		const usable = candidates.filter(({endpoint: {id}}) => availableIds.has(id));
+		const hasHealthy = findBest(usable) !== undefined;
+		const lastResort = hasHealthy ? undefined : this.#findLastResort(usable, late.filter(({endpoint: {id}}) => availableIds.has(id)));
+		const chosen = lastResort ? this.#listSelectable([lastResort], request, endpoints).at(0) : findBest(this.#listSelectable(usable, request, endpoints));
 		for (const candidate of candidates) {
 			if (candidate !== chosen) {
 				candidate.connection?.release();
@@ -341,6 +368,12 @@
 			};
 		}
 
+		if (pauseMilliseconds !== undefined) {
+			return {
+				kind: 'paused', probes, milliseconds, pauseMilliseconds,
+			};
+		}
+
 		this.getQueue(request.service).recordRefusal(this.#options.clock());
 		if (hasHealthy || lastResort) {
 			return {kind: 'slow', probes, milliseconds};
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -5,6 +5,7 @@
 export * from './capacity-queue.js';
 export * from './crash-tracker.js';
 export * from './directory-change-log.js';
+export * from './endpoint-availability.js';
 export * from './endpoint-directory.js';
 export * from './endpoint-pool.js';
 export * from './endpoint-rater.js';
--- a/packages/routing/src/selection.ts
+++ b/packages/routing/src/selection.ts
@@ -1,3 +1,4 @@
+import type {EndpointNotice} from './endpoint-availability.js';
 import type {DirectoryEndpoint} from './endpoint-directory.js';
 import type {EndpointRecord, EndpointReport} from './endpoint-record.js';
 
@@ -27,6 +28,8 @@
 	readonly status: ProbeStatus;
 	/** Load and speed, if the endpoint reports them. */
 	readonly report: EndpointReport | undefined;
+	/** What the endpoint asked for with its response; nothing if it did not respond. */
+	readonly notice?: EndpointNotice;
 	/** The connection of the probe, reserved for the request; nothing if it cannot be reused. */
 	readonly connection: C | undefined;
 };
@@ -83,8 +86,13 @@
 
 /** Reason why no endpoint was selected. */
 export type SelectionRefusal = {
-	/** `none`: no endpoint may be selected. `full`: none with capacity responded. `slow`: the best rating is above the limit. */
-	readonly kind: 'none' | 'full' | 'slow';
+	/**
+	 * `none`: no endpoint may be selected. `full`: none with capacity responded. `slow`: the best rating is above the limit. `paused`: all
+	 * endpoints have asked this host for a pause.
+	 */
+	readonly kind: 'none' | 'full' | 'slow' | 'paused';
+	/** Time until the first pause ends, in milliseconds; only with `paused`. */
+	readonly pauseMilliseconds?: number;
 	readonly probes: number;
 	readonly milliseconds: number;
 };
--- a/packages/routing/tests/endpoint-selector.test.ts
+++ b/packages/routing/tests/endpoint-selector.test.ts
@@ -1,4 +1,5 @@
 import {test} from 'tap';
+import type {EndpointNotice} from '../src/endpoint-availability.js';
 import type {DirectoryEndpoint} from '../src/endpoint-directory.js';
 import type {EndpointReport} from '../src/endpoint-record.js';
 import {EndpointSelector, type EndpointSelectorOptions} from '../src/endpoint-selector.js';
@@ -6,12 +7,14 @@
 
 type Answer = Partial<EndpointReport> & {readonly status?: ProbeStatus; readonly domain?: string; readonly silent?: boolean; readonly omitsReport?: boolean};
 
+const buildDirectoryEndpoint = (id: string, failureDomain = 'a'): DirectoryEndpoint => ({
+	id, address: id, service: 's', failureDomain, slots: 3, isDraining: false, startedAt: 1, sequence: 1, coldMilliseconds: 0, coldUntil: 0, missingSince: undefined,
+});
+
 function createSelector(answers: Readonly<Record<string, Answer>>, options: Partial<EndpointSelectorOptions<ProbedConnection>> = {}) {
 	const held = new Set<string>();
 	const probed: string[] = [];
-	const endpoints: DirectoryEndpoint[] = Object.entries(answers).map(([id, {domain = 'a'}]) => ({
-		id, address: id, service: 's', failureDomain: domain, slots: 3, isDraining: false, startedAt: 1, sequence: 1, coldMilliseconds: 0, coldUntil: 0, missingSince: undefined,
-	}));
+	const endpoints = Object.entries(answers).map(([id, {domain}]) => buildDirectoryEndpoint(id, domain));
 	const selector = new EndpointSelector<ProbedConnection>({
 		clock: () => 1000,
 		failureDomain: 'a',
@@ -273,3 +276,34 @@
 	t.match(await createSelector({far: {domain: 'b'}}).select(request), {endpoint: {id: 'far'}});
 	t.match(await createSelector({near: {running: 6}, far: {domain: 'b'}}).select(request), {kind: 'slow'}, 'a local endpoint may become free');
 });
+
+/** Notices with which endpoint `a` responds to its probe. */
+const notices: Readonly<Record<string, EndpointNotice>> = {
+	'is leaving': {isLeaving: true, pauseMilliseconds: undefined},
+	'asks for a pause': {isLeaving: false, pauseMilliseconds: 1000},
+};
+
+for (const [title, notice] of Object.entries(notices)) {
+	const sendProbe = async ({id}: {readonly id: string}) => ({
+		status: ProbeStatus.healthy, report: undefined, connection: undefined, ...(id === 'a' && {notice}),
+	});
+
+	test(`guards against a request to an endpoint that ${title}, as its response to the probe says`, async t => {
+		const {selector, select} = createSelector({a: {}, b: {}}, {sendProbe});
+		t.match(await select(), {endpoint: {id: 'b'}});
+		t.match(await select(), {endpoint: {id: 'b'}});
+		selector.updateReport({...buildDirectoryEndpoint('a')}, {
+			running: 0, waiting: 0, slots: 3, slowness: 1,
+		});
+		t.match(await select({excluded: new Set(['b'])}), {kind: 'none'}, 'not even if there is no other');
+	});
+}
+
+test('tells when the first pause ends if all endpoints have asked for one, and probes none of them', async t => {
+	const {selector, select, probed} = createSelector({a: {}, b: {}});
+	selector.recordNotice(buildDirectoryEndpoint('a'), {isLeaving: false, pauseMilliseconds: 900});
+	selector.recordNotice(buildDirectoryEndpoint('b'), {isLeaving: false, pauseMilliseconds: 400});
+	t.match(await select(), {kind: 'paused', pauseMilliseconds: 400, probes: 0});
+	t.same(probed, []);
+	t.notOk(selector.getQueue('s').isSaturated(1000), 'later requests are refused at once too, and do not queue');
+});
--- a/packages/stand-ins/src/stand-in-routed-endpoint.ts
+++ b/packages/stand-ins/src/stand-in-routed-endpoint.ts
@@ -146,6 +146,10 @@
 	reportsLoad = true;
 	/** Number of requests that are being processed or wait for a slot. */
 	inFlightCount = 0;
+	/** Whether all responses announce that the endpoint is leaving. */
+	isLeaving = false;
+	/** Value of `Retry-After` on responses with status 503, and on health checks while the endpoint is unhealthy. */
+	retryAfter: string | undefined;
 	/** Number of health checks received. */
 	probeCount = 0;
 	/** Responds to health checks in place of the endpoint, to cause a fault. */
@@ -220,7 +224,19 @@
 		return `${Math.min(this.inFlightCount, this.#slots)},${Math.max(0, this.inFlightCount - this.#slots)},${this.#slots},${this.slownessPercent}`;
 	}
 
+	/** Adds the headers with which the endpoint announces that it is leaving or asks for a pause. */
+	#addNotice(res: ServerResponse): void {
+		const writeHead = res.writeHead.bind(res) as (status: number, headers?: Record<string, unknown>) => ServerResponse;
+		const writeHeadWithNotice = (status: number, headers?: Record<string, unknown>) => writeHead(status, {
+			...headers,
+			...(this.isLeaving && {'server-leaving': '1'}),
+			...(status === 503 && this.retryAfter !== undefined && {'retry-after': this.retryAfter}),
+		});
+		Object.assign(res, {writeHead: writeHeadWithNotice});
+	}
+
 	async #handleRequest(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		this.#addNotice(res);
 		if (req.url === healthPath) {
 			this.probeCount += 1;
 			if (this.respondToProbe) {
--- a/packages/telemetry/src/log-messages.ts
+++ b/packages/telemetry/src/log-messages.ts
@@ -40,6 +40,8 @@
 	'peer-not-current': 'A peer did not return the current platform state.',
 	'hosts-removed': 'Hosts without recent contact were removed from the list of hosts.',
 	'endpoint-entry-unreadable': 'Registry entries that do not describe an endpoint are ignored.',
+	'endpoint-leaving': 'An endpoint announced in a response that it is leaving; it gets no further requests.',
+	'endpoint-paused': 'An endpoint asked in a response for a pause; it gets no requests and probes until the pause ends.',
 	'endpoint-listed': 'The registry entry of an endpoint changed.',
 	'settings-reloaded': 'The settings file was reloaded.',
 	'log-lines-dropped': 'Log lines were dropped because the log volume exceeded its limit.',
--- a/packages/telemetry/src/prometheus-metrics.ts
+++ b/packages/telemetry/src/prometheus-metrics.ts
@@ -50,6 +50,13 @@
 		registers: [this.#registry],
 	});
 
+	readonly #notices = new Counter({
+		name: 'tanagerrail_endpoint_notices_total',
+		help: 'Announcements of endpoints that they are leaving, and requests of endpoints for a pause, by service',
+		labelNames: ['service', 'kind'],
+		registers: [this.#registry],
+	});
+
 	/** Media type of the rendered metrics. */
 	get contentType(): string {
 		return this.#registry.contentType;
@@ -70,6 +77,10 @@
 		this.#probes.inc({service}, probes);
 	}
 
+	countNotice(service: string, kind: string): void {
+		this.#notices.inc({service, kind});
+	}
+
 	/**
 	 * Renders all metrics.
 	 *
