fix(http): exchanges whose response is not used are aborted with their request

Cause: an attempt that has ended with an incomplete response leaves the running ones, and at the end of the request only those were aborted. The response of a failed attempt that was repeated had no owner.

Evidence: edge-endless.test.ts finds the connections open 5 s after the requests on the former code, for a failure and for a refusal.

Change: the attempts of a request own all their exchanges and abort those whose response they do not return.

--- a/packages/cli/tests/edge-endless.test.ts
+++ b/packages/cli/tests/edge-endless.test.ts
@@ -43,6 +43,24 @@
 	});
 }
 
+const failureHeads: Readonly<Record<string, (id: string) => string>> = {
+	'a failure': id => `HTTP/1.1 500 Failed\r\ntransfer-encoding: chunked\r\nx-attempt-id: ${id}\r\nx-server-seal: 1.2.3\r\n\r\n`,
+	'a refusal': id => `HTTP/1.1 503 Refused\r\ntransfer-encoding: chunked\r\nx-attempt-id: ${id}\r\nx-not-executed: 1\r\n\r\n`,
+};
+
+for (const [title, buildFailureHead] of Object.entries(failureHeads)) {
+	test(`guards against connections that stay open after ${title} without end whose request another endpoint has answered`, async t => {
+		const {endpoints, send} = await startEdgeHost(t, {services: {reads: 2, payments: 1}});
+		const [broken] = endpoints.reads!;
+		broken!.behaviour = createEndlessBehaviour(buildFailureHead, `2710\r\n${'x'.repeat(10_000)}\r\n`);
+		const statuses = await Promise.all(Array.from({length: 10}, async () => getStatus(send({}))));
+		t.same(new Set(statuses), new Set([200]));
+		t.ok(broken!.requests.length > 0);
+		await waitFor(() => broken!.requests.every(({isCancelled}) => isCancelled));
+		t.ok(broken!.requests.every(({isCancelled}) => isCancelled), 'its connections are closed');
+	});
+}
+
 test('a body without end is cut off when the wait of its caller ends', async t => {
 	const {endpoints, settings} = await startEdgeHost(t, {services: {reads: 1, payments: 1}});
 	const [endpoint] = endpoints.reads!;
--- a/packages/http/src/read-attempt-end.ts
+++ b/packages/http/src/read-attempt-end.ts
@@ -102,13 +102,7 @@
 		profiles.record(request.route.name, clock() - startedAt, response.body.length);
 	}
 
-	const routedResponse: RoutedResponse = {
-		response,
-		endpoint,
-		abort() {
-			exchange.abort();
-		},
-	};
+	const routedResponse: RoutedResponse = {response, endpoint, exchange};
 	const end = response.status >= firstServerError ? AttemptEnd.failed : AttemptEnd.answered;
 	return {
 		end, response: routedResponse, failure: createFailure('endpoint-lost', parameters), status: response.status,
--- a/packages/http/src/routed-attempts.ts
+++ b/packages/http/src/routed-attempts.ts
@@ -46,6 +46,8 @@
 	readonly #request: RoutedRequest;
 	readonly #context: RoutedContext;
 	readonly #running = new Set<RunningAttempt>();
+	/** The exchanges of all attempts, also of those that have ended. */
+	readonly #exchanges: Exchange[] = [];
 	readonly #triedEndpoints = new Set<string>();
 	readonly #timers = new TimerSet();
 	readonly #events = new EventQueue<AttemptEvent>();
@@ -106,7 +108,7 @@
 		for (;;) {
 			const result = this.#handle(await this.#events.take());
 			if (result) {
-				this.#close();
+				this.#close(result.isOk() ? result.value.exchange : undefined);
 				return result;
 			}
 		}
@@ -313,6 +315,7 @@
 				}),
 			},
 		});
+		this.#exchanges.push(exchange);
 		const attempt: RunningAttempt = {exchange, endpoint};
 		this.#running.add(attempt);
 		this.#scheduleHedge(startedAt);
@@ -353,13 +356,18 @@
 		this.#events.push(event);
 	}
 
-	/** Cancels the attempts that are still running; endpoints drop a request when its connection closes. */
-	#close(): void {
+	/**
+	 * Aborts all exchanges but the one whose response is returned: those of attempts that still run, whose requests endpoints drop when
+	 * the connection closes, and those with a response that nobody receives in full.
+	 */
+	#close(returned: Exchange | undefined): void {
 		this.#isClosed = true;
 		this.#wait.cancel();
 		this.#timers.cancel();
-		for (const {exchange} of this.#running) {
-			exchange.abort();
+		for (const exchange of this.#exchanges) {
+			if (exchange !== returned) {
+				exchange.abort();
+			}
 		}
 
 		this.#running.clear();
--- a/packages/http/src/routed-receiver.ts
+++ b/packages/http/src/routed-receiver.ts
@@ -112,10 +112,10 @@
 	}
 
 	/** Forwards a response; if its body is cut off, closes the caller's connection, so that it never looks complete. */
-	async #forwardResponse(request: RoutedRequest, {response, endpoint, abort}: RoutedResponse, res: ServerResponse, beforeHead: () => void): Promise<Result<number, Failure>> {
+	async #forwardResponse(request: RoutedRequest, {response, endpoint, exchange}: RoutedResponse, res: ServerResponse, beforeHead: () => void): Promise<Result<number, Failure>> {
 		const {status, headers, body, isComplete, streamRest} = response;
 		if (res.destroyed) {
-			abort();
+			exchange.abort();
 			return err(createFailure('request-aborted'));
 		}
 
@@ -128,10 +128,12 @@
 		}
 
 		res.write(body);
-		const timer = setTimeout(abort, Math.max(0, request.streamUntil - this.#context.clock()));
+		const timer = setTimeout(() => {
+			exchange.abort();
+		}, Math.max(0, request.streamUntil - this.#context.clock()));
 		const isBodyComplete = await streamRest(async chunk => {
 			if (res.destroyed) {
-				abort();
+				exchange.abort();
 				return undefined;
 			}
 
--- a/packages/http/src/routed-request.ts
+++ b/packages/http/src/routed-request.ts
@@ -1,6 +1,6 @@
 import type {PrefixRoute} from '@tanagerrail/configuration';
 import type {DirectoryEndpoint} from '@tanagerrail/routing';
-import type {ExchangeResponse} from './exchange.js';
+import type {Exchange, ExchangeResponse} from './exchange.js';
 import type {HeaderFields} from './forwarded-headers.js';
 
 /** A request of a caller, received in full and matched to a route and a service. */
@@ -27,5 +27,5 @@
 	readonly signal: AbortSignal;
 };
 
-/** A response of an endpoint that may be forwarded to the caller. */
-export type RoutedResponse = {readonly response: ExchangeResponse; readonly endpoint: DirectoryEndpoint; readonly abort: () => void};
+/** A response of an endpoint that may be forwarded to the caller. Who forwards it aborts the exchange if the body is not received in full. */
+export type RoutedResponse = {readonly response: ExchangeResponse; readonly endpoint: DirectoryEndpoint; readonly exchange: Exchange};
