fix(http): the request bodies of a process have one memory budget

Cause: each body is held until its request has ended; only the size of one body was limited.

Ruled out: holding bodies shorter, because a refused request is sent again with its body; waiting for room, because two bodies in chunks could wait for each other.

A body that does not fit is refused at once as not run (result 1009). The listener releases what a received request holds, on each way out.

--- a/packages/cli/src/edge-host.ts
+++ b/packages/cli/src/edge-host.ts
@@ -2,7 +2,7 @@
 import {setTimeout as wait} from 'node:timers/promises';
 import {TrafficSplitter} from '@tanagerrail/configuration';
 import {
-	CallerListener, CrashDetector, defaultRequestLimits, EndpointConnections, ProbeClient, RoutedReceiver, ServiceProfiles, type HeldConnection, type RoutedRequest,
+	BodyBudget, CallerListener, CrashDetector, defaultRequestLimits, EndpointConnections, ProbeClient, RoutedReceiver, ServiceProfiles, type HeldConnection, type RoutedRequest,
 } from '@tanagerrail/http';
 import {
 	AttemptBudget, EndpointAvailability, EndpointSelector, ProbeBudget,
@@ -30,6 +30,11 @@
 /** Share of the permitted probe rate (`probesPerSecond` per endpoint) that all hosts together use. */
 const usableProbeShare = 0.6;
 
+/** Share of the memory of this host that request bodies may take. */
+const bodyMemoryShare = 0.3;
+
+const bytesPerMegabyte = 1_000_000;
+
 /** Share of the drain time for which a leaving endpoint may still get requests while its service has no other endpoint. */
 const leavingUseShare = 0.5;
 
@@ -192,6 +197,7 @@
 				splitter: new TrafficSplitter(),
 				profiles: new ServiceProfiles(),
 				meter: this.#metrics,
+				bodyBudget: new BodyBudget(() => bodyMemoryShare * bytesPerMegabyte * this.#settings.host.memoryMegabytes),
 				getRoutes: () => this.#platform.routes,
 				isReady: () => this.#platform.isLoaded,
 				waitForState: async () => this.#platform.waitForState(),
--- a/packages/cli/src/edge-settings.ts
+++ b/packages/cli/src/edge-settings.ts
@@ -14,6 +14,7 @@
 		failureDomain: z.string().min(1).meta({description: 'Failure domain in which this host runs'}),
 		isFirstStart: z.boolean().default(false).meta({description: 'Whether the whole system starts for the first time'}),
 		cores: z.number().min(0).default(1).meta({description: 'Processor cores that this host may use; the host with most cores in a failure domain reads the store for the others', unit: 'cores'}),
+		memoryMegabytes: z.number().min(64).default(256).meta({description: 'Memory that this host may use; request bodies take at most three tenths of it', unit: 'MB'}),
 	}),
 	seeds: z.array(addressSchema).default([]).meta({description: 'Peer addresses of hosts from which this host discovers the others; some may be out of date'}),
 	listen: z.object({
--- a/packages/http/src/body-buffer.ts
+++ b/packages/http/src/body-buffer.ts
@@ -2,7 +2,7 @@
 const initialCapacityBytes = 4096;
 
 /** Largest capacity that is allocated because of a declared length alone, in bytes; a larger buffer grows with the body. */
-const maximumDeclaredBytes = 1_048_576;
+const maximumDeclaredBytes = 134_217_728;
 
 /**
  * Collects a body in one contiguous buffer. A list of the chunks would cost some hundred bytes for each of them, so a body in
--- a/packages/http/src/caller-listener.ts
+++ b/packages/http/src/caller-listener.ts
@@ -197,19 +197,10 @@
 				return;
 			}
 
-			// A refusal with the outcome `not-run` was already sent on the connection, so the request must not run.
-			if (state.isRefused) {
-				res.destroy();
-				return;
-			}
-
-			state.dispatchedRequests += 1;
-			res.once('close', () => {
-				state.dispatchedRequests -= 1;
-			});
-			const served = await receiver.serve(received.value, res, beforeHead);
-			if (served.isErr()) {
-				this.#refuse(res, served.error, {id: received.value.id, beforeHead});
+			try {
+				await this.#serve(received.value, res, {state, beforeHead});
+			} finally {
+				receiver.release?.(received.value);
 			}
 		} catch (error) {
 			logger.log(LogLevel.error, 'internal-error', {request: id, reason: String(error)});
@@ -217,6 +208,23 @@
 		}
 	}
 
+	async #serve(request: R, res: ServerResponse, {state, beforeHead}: {readonly state: ConnectionState; readonly beforeHead: () => void}): Promise<void> {
+		// A refusal with the outcome `not-run` was already sent on the connection, so the request must not run.
+		if (state.isRefused) {
+			res.destroy();
+			return;
+		}
+
+		state.dispatchedRequests += 1;
+		res.once('close', () => {
+			state.dispatchedRequests -= 1;
+		});
+		const served = await this.#options.receiver.serve(request, res, beforeHead);
+		if (served.isErr()) {
+			this.#refuse(res, served.error, {id: request.id, beforeHead});
+		}
+	}
+
 	/** Counts a request as in progress until its response, after those of earlier requests, is written to the connection. */
 	#trackRequest(state: ConnectionState, res: ServerResponse): AbortController {
 		const controller = new AbortController();
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -1,4 +1,5 @@
 export * from './attempt-policies.js';
+export * from './body-budget.js';
 export * from './caller-listener.js';
 export * from './connection-pool.js';
 export * from './create-listener-server.js';
--- a/packages/http/src/read-body.ts
+++ b/packages/http/src/read-body.ts
@@ -1,6 +1,7 @@
 import type {IncomingMessage} from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
 import {createFailure, type Failure} from '@tanagerrail/results';
+import type {BodyReservation} from './body-budget.js';
 import {BodyBuffer} from './body-buffer.js';
 import {checkFieldGrammar} from './check-grammar.js';
 
@@ -10,6 +11,8 @@
 	readonly bytes: number;
 	/** Time in which the rest of the body must arrive, in milliseconds. */
 	readonly milliseconds: number;
+	/** Memory reserved for the body; no limit without one. The caller of `readBody` releases it. */
+	readonly reservation?: BodyReservation;
 };
 
 /**
@@ -17,19 +20,24 @@
  *
  * @param req - The caller's request.
  * @param limits - Limits on its size and duration.
- * @returns The body (undefined if it is empty), or `body-too-large`, `request-timeout`, `request-aborted` or, for invalid
- * trailers, `request-malformed`.
+ * @returns The body (undefined if it is empty), or `body-too-large`, `body-memory-full`, `request-timeout`, `request-aborted` or,
+ * for invalid trailers, `request-malformed`.
  */
-export async function readBody(req: IncomingMessage, {bytes, milliseconds}: BodyLimits): Promise<Result<Uint8Array | undefined, Failure>> {
-	if (Number(req.headers['content-length'] ?? 0) > bytes) {
+export async function readBody(req: IncomingMessage, {bytes, milliseconds, reservation}: BodyLimits): Promise<Result<Uint8Array | undefined, Failure>> {
+	const declaredBytes = Number(req.headers['content-length'] ?? 0);
+	if (declaredBytes > bytes) {
 		return err(createFailure('body-too-large', {limit: bytes}));
 	}
 
+	if (reservation?.extend(declaredBytes) === false) {
+		return err(createFailure('body-memory-full'));
+	}
+
 	if (req.headers['content-length'] === undefined && req.headers['transfer-encoding'] === undefined) {
 		return ok(undefined);
 	}
 
-	const body = new BodyBuffer(Number(req.headers['content-length'] ?? 0));
+	const body = new BodyBuffer(declaredBytes);
 	return new Promise(resolve => {
 		const finish = (result: Result<Uint8Array | undefined, Failure>) => {
 			clearTimeout(timer);
@@ -46,6 +54,11 @@
 				return;
 			}
 
+			if (reservation?.extend(body.length + chunk.length) === false) {
+				finish(err(createFailure('body-memory-full')));
+				return;
+			}
+
 			body.append(chunk);
 		});
 		req.once('end', () => {
--- a/packages/http/src/request-receiver.ts
+++ b/packages/http/src/request-receiver.ts
@@ -33,6 +33,8 @@
 	 * @returns Nothing if a response was sent, or the failure to respond with.
 	 */
 	serve(request: R, res: ServerResponse, beforeHead: () => void): Promise<Result<void, Failure>>;
+	/** Releases what a received request holds, after it has been served or refused. */
+	release?(request: R): void;
 	/** Builds additional headers of a refusal. */
 	buildRefusalHeaders(failure: Failure): Record<string, string>;
 	/** Counts a request that was refused before it was matched to a route. */
--- a/packages/http/src/routed-context.ts
+++ b/packages/http/src/routed-context.ts
@@ -1,6 +1,7 @@
 import type {RouteIndex, TrafficSplitter} from '@tanagerrail/configuration';
 import type {AttemptBudget, EndpointSelector} from '@tanagerrail/routing';
 import type {Clock} from '@tanagerrail/telemetry';
+import type {BodyBudget} from './body-budget.js';
 import type {CrashDetector} from './crash-detector.js';
 import type {EndpointConnections} from './endpoint-connections.js';
 import type {CallerProtocol, EndpointProtocol} from './endpoint-protocol.js';
@@ -25,6 +26,7 @@
 	readonly splitter: TrafficSplitter;
 	readonly profiles: ServiceProfiles;
 	readonly meter: RequestMeter;
+	readonly bodyBudget: BodyBudget;
 	/** The current route table; undefined before the host has one. */
 	getRoutes(): RouteIndex | undefined;
 	/** Whether the endpoints are known. */
--- a/packages/http/src/routed-receiver.ts
+++ b/packages/http/src/routed-receiver.ts
@@ -20,12 +20,16 @@
 /** Value of `Retry-After` on the refusal of a request that crashes endpoints, in milliseconds; its crashes are kept as long. */
 const quarantineMilliseconds = defaultQuarantineOptions.retentionMilliseconds;
 
+/** Value of `Retry-After` while the host holds as many request bodies as it may, in milliseconds. */
+const bodyMemoryMilliseconds = 500;
+
 /** Share of a pause over which the callers that were refused because of it are spread when they return. */
 const returnSpreadShare = 0.25;
 
 /** Value of `Retry-After` on refusals for which the default is wrong, in milliseconds. */
 const retryAfterByFailure: Partial<Record<Failure['id'], (failure: Failure) => number>> = {
 	quarantined: () => quarantineMilliseconds,
+	'body-memory-full': () => bodyMemoryMilliseconds,
 	'service-paused'({parameters: {milliseconds}}) {
 		const pause = Number(milliseconds);
 		return Math.ceil(pause + (Math.random() * Math.max(retryAfterMilliseconds, returnSpreadShare * pause)));
@@ -55,8 +59,12 @@
 		const target = req.url ?? '/';
 		const [path = '/'] = target.split('?', 1);
 		const {id, waitMilliseconds} = callers.readRequest(req.headers);
-		const body = await readBody(req, {bytes: routes.table.limits.bodyBytes, milliseconds: waitMilliseconds ?? defaultRequestLimits.requestMilliseconds});
+		const reservation = this.#context.bodyBudget.openReservation();
+		const body = await readBody(req, {
+			bytes: routes.table.limits.bodyBytes, milliseconds: waitMilliseconds ?? defaultRequestLimits.requestMilliseconds, reservation,
+		});
 		if (body.isErr()) {
+			reservation.release();
 			return err(body.error);
 		}
 
@@ -65,6 +73,7 @@
 		const index = getRoutes() ?? routes;
 		const route = index.findRoute(req.headers.host ?? '', path);
 		if (!route) {
+			reservation.release();
 			return err(createFailure('route-unknown', {method, path}));
 		}
 
@@ -74,6 +83,7 @@
 			target,
 			headers: stripHopByHop(req.headers),
 			body: body.value,
+			reservation,
 			route,
 			service: splitter.chooseService(route),
 			revision: index.table.revision,
@@ -84,6 +94,10 @@
 		});
 	}
 
+	release({reservation}: RoutedRequest): void {
+		reservation.release();
+	}
+
 	async serve(request: RoutedRequest, res: ServerResponse, beforeHead: () => void): Promise<Result<void, Failure>> {
 		const {getBudget, clock, meter} = this.#context;
 		getBudget(request.service).addRequest();
--- a/packages/http/src/routed-request.ts
+++ b/packages/http/src/routed-request.ts
@@ -1,5 +1,6 @@
 import type {PrefixRoute} from '@tanagerrail/configuration';
 import type {DirectoryEndpoint} from '@tanagerrail/routing';
+import type {BodyReservation} from './body-budget.js';
 import type {Exchange, ExchangeResponse} from './exchange.js';
 import type {HeaderFields} from './forwarded-headers.js';
 
@@ -13,6 +14,8 @@
 	/** Headers without the hop-by-hop ones. */
 	readonly headers: HeaderFields;
 	readonly body: Uint8Array | undefined;
+	/** Memory of the body. */
+	readonly reservation: BodyReservation;
 	readonly route: PrefixRoute;
 	readonly service: string;
 	/** Revision of the route table that matched. */
--- a/packages/results/src/result-codes.ts
+++ b/packages/results/src/result-codes.ts
@@ -41,6 +41,9 @@
 	'pipeline-full': {
 		number: 1008, status: 429, outcome: Outcome.notRun, message: 'More than {limit} requests are in progress on this connection.',
 	},
+	'body-memory-full': {
+		number: 1009, status: 503, outcome: Outcome.notRun, message: 'The request bodies that the host holds take as much memory as they may.',
+	},
 	'queue-full': {
 		number: 2001, status: 503, outcome: Outcome.notRun, message: 'The expected wait of {wait} ms for service {service} is longer than the request allows.',
 	},
