--- a/packages/bench/src/soak/check-promises.ts
+++ b/packages/bench/src/soak/check-promises.ts
@@ -1,4 +1,5 @@
 import fs from 'node:fs';
+import {findLateRequests, findRequestsInPauses} from './check-notices.js';
 import {soakBounds} from './soak-bounds.js';
 import {SoakBehaviour} from './soak-endpoint.js';
 import type {SoakFleet} from './soak-fleet.js';
@@ -91,6 +92,18 @@
 			}
 		}
 	},
+	/** An endpoint that announced its leaving in a response gets no requests from that host after the drain time. */
+	* 'no-work-after-leaving-notice'(fleet) {
+		for (const {sent, notice} of findLateRequests(fleet)) {
+			yield createBreach('no-work-after-leaving-notice', sent, `reached ${notice.endpoint}, which had announced its leaving in the response to ${notice.request}`);
+		}
+	},
+	/** An endpoint that asked a host for a pause gets no requests from it until the pause ends. */
+	* 'pauses-are-kept'(fleet) {
+		for (const {sent, notice} of findRequestsInPauses(fleet)) {
+			yield createBreach('pauses-are-kept', sent, `reached ${notice.endpoint} during the pause that it had asked for in the response to ${notice.request}`);
+		}
+	},
 	/** A host applies a new configuration in time. */
 	* 'configuration-in-force'(fleet) {
 		for (const sent of fleet.history.requests.values()) {
--- a/packages/bench/src/soak/soak-bounds.ts
+++ b/packages/bench/src/soak/soak-bounds.ts
@@ -10,6 +10,10 @@
 	shutdownSeconds: 6,
 	/** Time after the announced departure of an endpoint from which it gets no new requests, in milliseconds. */
 	drainMilliseconds: 2000,
+	/** Time after a request for a pause from which the pause is checked, in milliseconds. */
+	pauseSlackMilliseconds: 500,
+	/** Requests that may reach an endpoint from one host during a pause. */
+	requestsInPause: 2,
 	/** Probes per second of each endpoint. */
 	probesPerSecond: 60,
 	/** Recovery time after a fault from which the time bounds apply to a host again, in milliseconds. */
--- a/packages/bench/src/soak/soak-endpoint.ts
+++ b/packages/bench/src/soak/soak-endpoint.ts
@@ -66,6 +66,8 @@
 	faultShare = 0;
 	/** Factor by which the processing time is extended. */
 	slowness = 1;
+	/** Time for which the endpoint wants no requests, in milliseconds; it refuses all requests while this is set. */
+	pauseMilliseconds: number | undefined;
 	service: string;
 	relay: TcpRelay | undefined;
 	address = '';
@@ -116,7 +118,8 @@
 	}
 
 	#run(run: RoutedEndpointRequest, res: ServerResponse, socket: Socket): void {
-		const hasRun = this.standIn.inFlightCount <= slots + queueLimit;
+		this.#recordNotices(run, res);
+		const hasRun = this.pauseMilliseconds === undefined && this.standIn.inFlightCount <= slots + queueLimit;
 		const behaviour = this.#draw() < this.faultShare ? this.faultBehaviour : SoakBehaviour.serve;
 		this.#history.addArrival({
 			id: run.id, endpoint: this.id, service: this.service, at: performance.now(), hasRun, deadlineMilliseconds: run.deadlineMilliseconds, behaviour,
@@ -132,4 +135,22 @@
 			}
 		}, workMilliseconds * this.slowness);
 	}
+
+	#recordNotices({id}: RoutedEndpointRequest, res: ServerResponse): void {
+		const {pauseMilliseconds, standIn: {isLeaving}} = this;
+		const notice = {request: id, endpoint: this.id};
+		res.once('finish', () => {
+			if (isLeaving) {
+				this.#history.notices.push({
+					...notice, kind: 'leaving', at: performance.now(), milliseconds: 0,
+				});
+			}
+
+			if (pauseMilliseconds !== undefined) {
+				this.#history.notices.push({
+					...notice, kind: 'pause', at: performance.now(), milliseconds: pauseMilliseconds,
+				});
+			}
+		});
+	}
 }
--- a/packages/bench/src/soak/soak-faults.ts
+++ b/packages/bench/src/soak/soak-faults.ts
@@ -25,6 +25,9 @@
 /** Time between the departure of an endpoint and the reuse of its address by another service. */
 const addressReuseMilliseconds = 2300;
 
+/** Pause that an endpoint asks for with `Retry-After`. */
+const requestedPauseMilliseconds = 3000;
+
 /** Pause between two stops of `hosts-stopped-in-turn`. */
 const stepMilliseconds = 700;
 
@@ -99,6 +102,9 @@
 const faultBehaviours = [SoakBehaviour.fail, SoakBehaviour.reset, SoakBehaviour.cut, SoakBehaviour.twice, SoakBehaviour.hang, SoakBehaviour.unsealed];
 const directions = [RelayDirection.both, RelayDirection.forward, RelayDirection.back];
 
+/** Faults of endpoints that only their responses announce; they are planned apart from the others. */
+export const noticeFaults = ['endpoint-announces-leaving', 'endpoint-asks-for-pause'] as const;
+
 /** All faults, keyed by name. */
 export const soakFaults: Readonly<Record<string, RunSoakFault>> = {
 	async 'host-killed'({hosts}, {target, milliseconds}) {
@@ -213,6 +219,22 @@
 		await wait(soakBounds.drainMilliseconds + extraServingMilliseconds);
 		await fleet.removeEndpoint(endpoint);
 	},
+	/** An endpoint announces its departure in its responses only; the registry lists it as ready until it is gone. */
+	async 'endpoint-announces-leaving'(fleet, {target, milliseconds}) {
+		const endpoint = pickReadyEndpoint(fleet, target);
+		await fleet.addEndpoint(endpoint.service);
+		endpoint.state = 'draining';
+		endpoint.standIn.isLeaving = true;
+		await wait(soakBounds.drainMilliseconds + extraServingMilliseconds + milliseconds);
+		await fleet.removeEndpoint(endpoint);
+	},
+	'endpoint-asks-for-pause': createEndpointFault(endpoint => {
+		endpoint.pauseMilliseconds = requestedPauseMilliseconds;
+		endpoint.standIn.retryAfter = String(requestedPauseMilliseconds / 1000);
+	}, endpoint => {
+		endpoint.pauseMilliseconds = undefined;
+		endpoint.standIn.retryAfter = undefined;
+	}),
 	/** Registers an endpoint of another service at the address of one that has left. */
 	async 'address-reused'(fleet, {target}) {
 		const endpoint = pickReadyEndpoint(fleet, target);
--- a/packages/bench/src/soak/soak-history.ts
+++ b/packages/bench/src/soak/soak-history.ts
@@ -47,6 +47,18 @@
 /** The announced departure of an endpoint. */
 export type SoakDeparture = {readonly endpoint: string; readonly at: number};
 
+/** A response with which an endpoint announced that it is leaving, or asked for a pause. */
+export type SoakNotice = {
+	readonly kind: 'leaving' | 'pause';
+	/** Id of the request that was answered. */
+	readonly request: string;
+	readonly endpoint: string;
+	/** Monotonic time at which the response was written, in milliseconds. */
+	readonly at: number;
+	/** Length of the pause in milliseconds; 0 if the endpoint is leaving. */
+	readonly milliseconds: number;
+};
+
 /** The addition or removal of a route. */
 export type SoakRouteChange = {readonly prefix: string; readonly isAdded: boolean; readonly at: number};
 
@@ -55,6 +67,7 @@
 	readonly requests = new Map<string, SoakRequest>();
 	readonly arrivals: SoakArrival[] = [];
 	readonly departures: SoakDeparture[] = [];
+	readonly notices: SoakNotice[] = [];
 	readonly routeChanges: SoakRouteChange[] = [];
 	readonly #runs = new Map<string, SoakArrival[]>();
 
--- a/packages/bench/tests/soak/without-mechanism.test.ts
+++ b/packages/bench/tests/soak/without-mechanism.test.ts
@@ -22,6 +22,17 @@
 		promise: 'no-work-for-leaving-endpoints',
 		plan: [createFault('endpoint-leaves', {target: createEndpointTarget(0)})],
 	},
+	{
+		variant: 'edge-without-notices',
+		promise: 'no-work-after-leaving-notice',
+		plan: [createFault('endpoint-announces-leaving', {target: createEndpointTarget(0), milliseconds: 3500})],
+	},
+	{
+		variant: 'edge-without-notices',
+		promise: 'pauses-are-kept',
+		// Payments go to the endpoints with the indices 4 to 7.
+		plan: [4, 5, 6, 7].map(index => createFault('endpoint-asks-for-pause', {target: createEndpointTarget(index), milliseconds: 3500})),
+	},
 	{
 		variant: 'edge-without-unknown-outcome',
 		promise: 'runs-once',
