fix(routing): a retry budget forgets old requests although nobody asks for it

Callers saw nothing; the review read that AttemptBudget keeps the times of requests until its budget is asked for, so a service without retries collects them for ever.

Cause: times outside the window were dropped only when the available attempts were computed.

Change: they are dropped when a request is counted too. The new test failed before (45 MB for two million requests) and passes now (1.7 MB).

--- a/packages/routing/src/attempt-budget.ts
+++ b/packages/routing/src/attempt-budget.ts
@@ -48,7 +48,9 @@
 
 	/** Counts a request for the service. */
 	addRequest(): void {
-		this.#requests.push(this.#options.clock());
+		const now = this.#options.clock();
+		this.#expire(now);
+		this.#requests.push(now);
 	}
 
 	/**
--- a/packages/routing/tests/attempt-budget.test.ts
+++ b/packages/routing/tests/attempt-budget.test.ts
@@ -76,3 +76,17 @@
 	record.recordSuccess();
 	t.notOk(record.isAvoided(20));
 });
+
+test('guards against memory that grows for a service whose budget nobody asks for', async t => {
+	const time = {now: 0};
+	const budget = new AttemptBudget({
+		clock: () => time.now, ratio: 1, slack: 0, windowMilliseconds: 100, getHostCount: () => 1, startedAt: 0,
+	});
+	const before = process.memoryUsage().heapUsed;
+	for (; time.now < 2_000_000; time.now++) {
+		budget.addRequest();
+	}
+
+	const taken = process.memoryUsage().heapUsed - before;
+	t.ok(taken < 8_000_000, `the heap grew by ${taken} bytes`);
+});
