fix(http): requests with Expect or with a target in absolute form are served

Cause: the header was passed on, and undici refuses it, although the HTTP server has answered it already. The whole target was taken for the path.

Change: Expect is not passed on. parseTarget reads both forms; the host of an absolute form takes precedence over the Host header (RFC 9112, section 3.2.2).

--- a/packages/http/src/routed-receiver.ts
+++ b/packages/http/src/routed-receiver.ts
@@ -4,6 +4,7 @@
 import {defaultQuarantineOptions} from '@tanagerrail/routing';
 import {createLogger, LogLevel} from '@tanagerrail/telemetry';
 import {stripHopByHop} from './forwarded-headers.js';
+import {parseTarget} from './parse-target.js';
 import {readBody} from './read-body.js';
 import type {Arrival, RequestReceiver} from './request-receiver.js';
 import {defaultRequestLimits} from './request-limits.js';
@@ -56,7 +57,7 @@
 		}
 
 		const method = req.method ?? 'GET';
-		const target = req.url ?? '/';
+		const {host, target} = parseTarget(req.url, req.headers.host);
 		const [path = '/'] = target.split('?', 1);
 		const {id, waitMilliseconds} = callers.readRequest(req.headers);
 		const reservation = this.#context.bodyBudget.openReservation();
@@ -71,17 +72,19 @@
 		await waitForState();
 		// The table is read again, because it may have changed while the body was received.
 		const index = getRoutes() ?? routes;
-		const route = index.findRoute(req.headers.host ?? '', path);
+		const route = index.findRoute(host, path);
 		if (!route) {
 			reservation.release();
 			return err(createFailure('route-unknown', {method, path}));
 		}
 
+		// The HTTP server has already told the caller to continue.
+		const {expect: _expect, ...headers} = stripHopByHop(req.headers);
 		return ok({
 			id: id ?? crypto.randomUUID(),
 			method,
 			target,
-			headers: stripHopByHop(req.headers),
+			headers: {...headers, host},
 			body: body.value,
 			reservation,
 			route,
