--- a/packages/bench/src/soak/check-promises.ts
+++ b/packages/bench/src/soak/check-promises.ts
@@ -1,7 +1,7 @@
 import fs from 'node:fs';
 import {findLateRequests, findRequestsInPauses} from './check-notices.js';
 import {soakBounds} from './soak-bounds.js';
-import {SoakBehaviour} from './soak-endpoint.js';
+import {SoakBehaviour} from './soak-behaviour.js';
 import type {SoakFleet} from './soak-fleet.js';
 import type {SoakHost} from './soak-host.js';
 import {SoakRequestKind, type SoakRequest, type SoakRouteChange} from './soak-history.js';
--- a/packages/bench/src/soak/soak-endpoint.ts
+++ b/packages/bench/src/soak/soak-endpoint.ts
@@ -3,6 +3,7 @@
 import {
 	routedBehaviours, sealHeader, StandInRoutedEndpoint, TcpRelay, type RoutedBehaviour, type RoutedEndpointRequest,
 } from '@tanagerrail/stand-ins';
+import {SoakBehaviour} from './soak-behaviour.js';
 import type {SoakHistory} from './soak-history.js';
 
 /** Processing time of a request, unless the endpoint is slowed down. */
@@ -14,14 +15,6 @@
 const slots = 3;
 const downloadBytes = 120_000;
 
-/** How an endpoint responds to a request that it has processed. */
-export const SoakBehaviour = {
-	serve: 'serve', fail: 'fail', reset: 'reset', cut: 'cut', twice: 'twice', hang: 'hang', unsealed: 'unsealed',
-} as const;
-
-/** One of the behaviours. */
-export type SoakBehaviour = typeof SoakBehaviour[keyof typeof SoakBehaviour];
-
 const behaviours: Readonly<Record<SoakBehaviour, RoutedBehaviour>> = {
 	serve(run, res) {
 		res.writeHead(200, {'x-attempt-id': run.id, ...sealHeader}).end(buildBody(run));
--- a/packages/bench/src/soak/soak-faults.ts
+++ b/packages/bench/src/soak/soak-faults.ts
@@ -2,7 +2,8 @@
 import {RelayCut, RelayDirection, RowStoreFault} from '@tanagerrail/stand-ins';
 import type {DisturbanceLog} from './disturbance-log.js';
 import {soakBounds} from './soak-bounds.js';
-import {SoakBehaviour, type SoakEndpoint} from './soak-endpoint.js';
+import {SoakBehaviour} from './soak-behaviour.js';
+import type {SoakEndpoint} from './soak-endpoint.js';
 import {soakServices, type SoakFleet, type SoakService} from './soak-fleet.js';
 import type {SoakHost} from './soak-host.js';
 
--- a/packages/bench/src/soak/soak-history.ts
+++ b/packages/bench/src/soak/soak-history.ts
@@ -1,4 +1,4 @@
-import type {SoakBehaviour} from './soak-endpoint.js';
+import type {SoakBehaviour} from './soak-behaviour.js';
 
 /** Kinds of requests that clients send; the name of the service is the plural of the kind. */
 export const SoakRequestKind = {read: 'read', payment: 'payment', download: 'download'} as const;
