feat(bench): the soak plays late copies of refusals and health answers

Rule REFUSED was broken by real processes, and the soak could not show it: its endpoints always sent the id of the request, and second copies only at once. Endpoints now refuse some requests without an id, fail their health checks, and send late copies of both for a time.

--- a/packages/bench/src/soak/plan-soak.ts
+++ b/packages/bench/src/soak/plan-soak.ts
@@ -1,5 +1,5 @@
 import type {RandomSource} from '../load/random-source.js';
-import {noticeFaults, soakFaults, type SoakFault} from './soak-faults.js';
+import {responseFaults, soakFaults, type SoakFault} from './soak-faults.js';
 
 const firstFaultMilliseconds = 800;
 const minimumFaultMilliseconds = 200;
@@ -14,15 +14,15 @@
 /** Period within which the faults of a group begin. */
 const groupSpreadMilliseconds = 800;
 
-/** Longest time between two faults that only responses announce. */
-const maximumNoticeIntervalMilliseconds = 8000;
+/** Longest time between two faults in what endpoints say. */
+const maximumResponseFaultIntervalMilliseconds = 8000;
 
-/** Draws the faults that only responses announce. They are drawn last, so that the other faults of a seed stay the same. */
-function planNoticeFaults(random: RandomSource, milliseconds: number): SoakFault[] {
+/** Draws the faults in what endpoints say. They are drawn last, so that the other faults of a seed stay the same. */
+function planResponseFaults(random: RandomSource, milliseconds: number): SoakFault[] {
 	const faults: SoakFault[] = [];
-	for (let at = random.drawBetween(0, maximumNoticeIntervalMilliseconds); at < milliseconds; at += random.drawBetween(1000, maximumNoticeIntervalMilliseconds)) {
+	for (let at = random.drawBetween(0, maximumResponseFaultIntervalMilliseconds); at < milliseconds; at += random.drawBetween(1000, maximumResponseFaultIntervalMilliseconds)) {
 		faults.push({
-			kind: noticeFaults[random.drawIndex(noticeFaults.length)]!,
+			kind: responseFaults[random.drawIndex(responseFaults.length)]!,
 			from: at,
 			milliseconds: random.drawBetween(minimumFaultMilliseconds, maximumFaultMilliseconds),
 			target: random.draw(),
@@ -41,7 +41,7 @@
  * @returns The faults, sorted by start time.
  */
 export function planSoak(random: RandomSource, milliseconds: number): SoakFault[] {
-	const kinds = Object.keys(soakFaults).filter(kind => !(noticeFaults as readonly string[]).includes(kind));
+	const kinds = Object.keys(soakFaults).filter(kind => !(responseFaults as readonly string[]).includes(kind));
 	const faults: SoakFault[] = [];
 	for (let at = firstFaultMilliseconds; at < milliseconds; at += random.drawBetween(minimumPauseMilliseconds, maximumPauseMilliseconds)) {
 		const count = 1 + random.drawIndex(maximumFaultsPerGroup);
@@ -56,6 +56,6 @@
 		}
 	}
 
-	faults.push(...planNoticeFaults(random, milliseconds));
+	faults.push(...planResponseFaults(random, milliseconds));
 	return faults.sort((left, right) => left.from - right.from);
 }
--- a/packages/bench/src/soak/soak-endpoint.ts
+++ b/packages/bench/src/soak/soak-endpoint.ts
@@ -1,7 +1,7 @@
 import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {
-	routedBehaviours, sealHeader, StandInRoutedEndpoint, TcpRelay, type RoutedBehaviour, type RoutedEndpointRequest,
+	routedBehaviours, sealHeader, sendLateCopy, StandInRoutedEndpoint, TcpRelay, type RoutedBehaviour, type RoutedEndpointRequest,
 } from '@tanagerrail/stand-ins';
 import {SoakBehaviour} from './soak-behaviour.js';
 import type {SoakHistory} from './soak-history.js';
@@ -13,6 +13,9 @@
 const queueLimit = 6;
 
 const slots = 3;
+
+/** Share of the requests that are refused without their id while the endpoint copies its responses. */
+const copiedRefusalShare = 0.3;
 const downloadBytes = 120_000;
 
 const behaviours: Readonly<Record<SoakBehaviour, RoutedBehaviour>> = {
@@ -50,6 +53,10 @@
 	return target.includes('/downloads/') ? text.repeat(Math.ceil(downloadBytes / text.length)) : text;
 }
 
+function buildRefusal(header: string): string {
+	return `HTTP/1.1 503 Service Unavailable\r\n${header}\r\ncontent-length: 0\r\n\r\n`;
+}
+
 /** An endpoint behind a relay; it records the requests that it receives. */
 export class SoakEndpoint {
 	readonly standIn: StandInRoutedEndpoint;
@@ -67,6 +74,7 @@
 	startedAt = Date.now();
 	sequence = 1;
 	state: 'ready' | 'draining' = 'ready';
+	#copiesLate = false;
 	readonly #history: SoakHistory;
 	readonly #draw: () => number;
 
@@ -110,13 +118,35 @@
 		return this.standIn.buildRegistryEntry(this.service, {state: this.state, sequence: this.sequence}, {address: this.address, born: this.startedAt});
 	}
 
+	/** Begins to refuse some requests without their id and to fail health checks, and to send late copies of these responses. */
+	startLateCopies(): void {
+		this.#copiesLate = true;
+		this.standIn.respondToProbe = (res, socket) => {
+			res.writeHead(503, {'x-instance-id': this.id, 'content-length': 0}).end();
+			sendLateCopy(socket, buildRefusal(`x-instance-id: ${this.id}`));
+		};
+	}
+
+	/** Ends what {@link SoakEndpoint.startLateCopies} began. */
+	stopLateCopies(): void {
+		this.#copiesLate = false;
+		this.standIn.respondToProbe = undefined;
+	}
+
 	#run(run: RoutedEndpointRequest, res: ServerResponse, socket: Socket): void {
 		this.#recordNotices(run, res);
-		const hasRun = this.pauseMilliseconds === undefined && this.standIn.inFlightCount <= slots + queueLimit;
+		const isCopied = this.#copiesLate && this.#draw() < copiedRefusalShare;
+		const hasRun = !isCopied && this.pauseMilliseconds === undefined && this.standIn.inFlightCount <= slots + queueLimit;
 		const behaviour = this.#draw() < this.faultShare ? this.faultBehaviour : SoakBehaviour.serve;
 		this.#history.addArrival({
 			id: run.id, endpoint: this.id, service: this.service, at: performance.now(), hasRun, deadlineMilliseconds: run.deadlineMilliseconds, behaviour,
 		});
+		if (isCopied) {
+			routedBehaviours.shedWithoutId(run, res);
+			sendLateCopy(socket, buildRefusal('x-not-executed: 1'));
+			return;
+		}
+
 		if (!hasRun) {
 			routedBehaviours.shed(run, res);
 			return;
--- a/packages/bench/src/soak/soak-faults.ts
+++ b/packages/bench/src/soak/soak-faults.ts
@@ -103,8 +103,8 @@
 const faultBehaviours = [SoakBehaviour.fail, SoakBehaviour.reset, SoakBehaviour.cut, SoakBehaviour.twice, SoakBehaviour.hang, SoakBehaviour.unsealed];
 const directions = [RelayDirection.both, RelayDirection.forward, RelayDirection.back];
 
-/** Faults of endpoints that only their responses announce; they are planned apart from the others. */
-export const noticeFaults = ['endpoint-announces-leaving', 'endpoint-asks-for-pause'] as const;
+/** Faults in what endpoints say in their responses; they are planned apart from the others. */
+export const responseFaults = ['endpoint-announces-leaving', 'endpoint-asks-for-pause', 'endpoint-copies-late'] as const;
 
 /** All faults, keyed by name. */
 export const soakFaults: Readonly<Record<string, RunSoakFault>> = {
@@ -236,6 +236,11 @@
 		endpoint.pauseMilliseconds = undefined;
 		endpoint.standIn.retryAfter = undefined;
 	}),
+	'endpoint-copies-late': createEndpointFault(endpoint => {
+		endpoint.startLateCopies();
+	}, endpoint => {
+		endpoint.stopLateCopies();
+	}),
 	/** Registers an endpoint of another service at the address of one that has left. */
 	async 'address-reused'(fleet, {target}) {
 		const endpoint = pickReadyEndpoint(fleet, target);
--- a/packages/stand-ins/src/stand-in-routed-endpoint.ts
+++ b/packages/stand-ins/src/stand-in-routed-endpoint.ts
@@ -111,17 +111,26 @@
 /** Path of health checks. */
 const healthPath = '/health';
 
+/** Connections on which a late copy is still to be sent. */
+const socketsWithCopy = new WeakSet<Socket>();
+
 /**
  * Sends a second copy of a response late: at the point where the response to the next request on the connection is due. Health
- * checks in between get their own responses.
+ * checks in between get their own responses. One copy is sent at a time.
  *
  * @param socket - The connection.
  * @param copy - The response as text.
  */
 export function sendLateCopy(socket: Socket, copy: string): void {
+	if (socketsWithCopy.has(socket)) {
+		return;
+	}
+
+	socketsWithCopy.add(socket);
 	const handleData = (chunk: Uint8Array) => {
 		if (!Buffer.from(chunk).toString('latin1').startsWith(`GET ${healthPath} `)) {
 			socket.off('data', handleData);
+			socketsWithCopy.delete(socket);
 			socket.write(copy);
 		}
 	};
